--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,803 @@
+package choice
+
+// A Gateway is the decision module of one gateway. Whoever speaks a protocol (the bench's adapter
+// now, the service's own listener later) makes one with New and calls one method for each thing that
+// happens: List, Op, Answer, Report, ProbeAnswer, ClientGone, Timer. Calls come one at a time, each
+// with the span since the gateway's start. Inside them the Gateway acts by calling its Host; that
+// interface and the plain types handed over at start are in host.go.
+//
+// Reading order: what is kept; events; routing (place, choose); the gate that every send passes
+// (send); roles and positions; health; the list and the clock.
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"slices"
+	"time"
+)
+
+// The few constants are ratios, so that they fit any deployment.
+const (
+	holdShare    = 4    // the design holds a session read for this part of its latency target
+	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes: writes need the rest
+	cut          = 0.8  // what a server takes shrinks so when an answer misses its latency target
+	startLimit   = 8    // sends owed by a server that nothing is known of
+	fullTurn     = 64   // a histogram is halved at this many entries
+	late         = 0.98 // an answer later than this share of its type's answers is overdue
+	answered     = 2    // probes that bring a server back that was set aside
+	slices8      = 8    // parts of the window in which work for a cold server is counted
+	coldCaution  = 0.5  // of the allowance for a cold server that is used: counts stand in for work
+	rememberedAt = 4096 // session marks kept one by one; older ones fold into one floor
+)
+
+// histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
+type histogram struct {
+	bins  [8]uint32
+	total uint32
+}
+
+func (h *histogram) add(took, unit time.Duration) {
+	i, edge := 0, unit/32
+	for ; i < len(h.bins)-1 && took > edge; i++ {
+		edge *= 2
+	}
+	h.bins[i]++
+	if h.total++; h.total >= fullTurn {
+		h.total = 0
+		for i := range h.bins {
+			h.bins[i] /= 2
+			h.total += h.bins[i]
+		}
+	}
+}
+
+// quantile is the upper edge of the bin that holds the share q, or the unit where too little is known.
+func (h *histogram) quantile(q float64, unit time.Duration) time.Duration {
+	if h.total < fullTurn/4 {
+		return unit
+	}
+	want, edge := uint32(q*float64(h.total)), unit/32
+	for _, n := range h.bins {
+		if want < n {
+			break
+		}
+		want -= n
+		edge *= 2
+	}
+	return min(edge, 2*unit)
+}
+
+type opType struct {
+	effect        Effect
+	scope         Scope
+	need          Need
+	window, bound time.Duration
+	target, hold  time.Duration
+	value         float64
+	lateEarns     bool
+	took          histogram // answer times as parts of the latency target
+}
+
+// overdue is the age at which an answer to a send of this type is called overdue.
+func (t *opType) overdue() time.Duration { return min(t.took.quantile(late, t.target), t.target) }
+
+type op struct {
+	id         uint32
+	t          *opType
+	group      *group
+	session    uint64
+	mark       time.Duration // the position that a session read must see
+	arrived    time.Duration
+	due        time.Duration
+	holdUntil  time.Duration
+	sends      int
+	at         *server // where a send is out, or nil
+	sentAt     time.Duration
+	cancelled  bool
+	mayHaveRun bool
+	firstMaybe time.Duration // when the first send that may have run went out
+	missed     bool          // a replica has turned this read away
+	held, done bool
+}
+
+type server struct {
+	id       uint32
+	group    *group
+	zone     uint8
+	weight   float64
+	started  time.Duration
+	state    State
+	role     Role
+	roleAt   time.Duration // how new the newest evidence of the role is
+	pos      time.Duration // the newest position told; it never goes back
+	trusted  bool          // it has answered a probe or an op
+	owed     []*op         // sends out, oldest first
+	heard    time.Duration // its newest sign of life in answer to a send
+	limit    float64       // sends that it may owe
+	learning bool          // no answer has been late yet: the limit grows fast
+	cutAt    time.Duration
+	credit   float64 // in the rotation
+	errors   float64 // recent share of its answers that were errors
+
+	aside     bool
+	trial     bool // back from aside, one send at a time until one is acked
+	probesOK  int
+	probeOut  bool
+	nextProbe time.Duration
+	wait      time.Duration // between probes while aside
+
+	sent   [slices8]uint16 // sends in the last parts of the overload window
+	sentAt int64           // the newest part counted
+}
+
+type group struct {
+	members []*server // in id order
+	primary *server   // the member with the newest evidence of being it
+	held    []*op     // most valuable first
+}
+
+// Gateway decides where every op of one gateway goes.
+type Gateway struct {
+	host    Host
+	types   []opType
+	zone    uint8
+	tick    time.Duration
+	seed    uint64
+	count   uint64
+	ops     map[uint32]*op
+	servers map[uint32]*server
+	ordered []*server // in id order
+	groups  map[uint16]*group
+	byID    []*group
+
+	checked, carried, tells, probes, cancels bool
+	listRoles, onlyDraining                  bool
+	maxSends                                 int
+	steady                                   time.Duration // between probes where answers tell no position
+	comeBack                                 time.Duration // the longest wait a client honours; 0: none is told
+
+	asked               bool
+	askAt, askWait      time.Duration
+	askWaitMin, maxWait time.Duration
+
+	coldFrom, coldMultiple float64 // the multiple is this gateway's share
+	coldTime, coldPart     time.Duration
+	warmTakes              float64 // most sends that a warm server took from here in one window
+
+	marks, oldMarks map[uint64]time.Duration
+	newest          time.Duration // the newest mark in marks
+	oldNewest       time.Duration
+	floor           time.Duration // sessions without a mark may have written up to here
+}
+
+// New makes a gateway's decision module. The host hands over the cached list next.
+func New(h Host, d *Deployment, seed uint64) *Gateway {
+	g := &Gateway{
+		host: h, zone: d.Zone, tick: max(d.Round, time.Millisecond), seed: seed,
+		ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
+		checked: d.Checks != Unchecked, carried: d.MarksCarried, tells: d.TellsPosition,
+		probes: d.Probes, cancels: d.Cancels, listRoles: d.ListRoles,
+		onlyDraining: d.OnlyDrainingBinds, maxSends: d.MaxSends,
+		asked: d.ListAsked, askWaitMin: d.AskWithin / 32, maxWait: d.AskWithin / 4,
+		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
+		coldPart: d.OverloadTime / slices8,
+		marks:    map[uint64]time.Duration{}, newest: LongPast, oldNewest: LongPast, floor: LongPast,
+	}
+	if d.ComeBack {
+		g.comeBack = d.MaxComeBack
+	}
+	if g.maxSends == 0 {
+		g.maxSends = 1
+	}
+	for _, t := range d.OpTypes {
+		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
+			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, value: t.Value, lateEarns: t.LateValue > 0})
+		if t.Need == Bounded && d.ReportsPosition && !d.TellsPosition && (g.steady == 0 || t.Bound/2 < g.steady) {
+			g.steady = t.Bound / 2
+		}
+	}
+	if g.asked {
+		g.askWait = g.askWaitMin
+		g.askAt = g.maxWait
+		h.WatchList()
+	}
+	h.Timer(0, g.tick)
+	return g
+}
+
+// chance is a number in [0,1) from the seed and a counter.
+func (g *Gateway) chance() float64 {
+	var b [16]byte
+	g.count++
+	binary.BigEndian.PutUint64(b[:], g.seed)
+	binary.BigEndian.PutUint64(b[8:], g.count)
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+// Op is called when a client's op comes in. wroteAgo is 0 where the session's last write is not told.
+func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
+	inGroup uint16, wroteAgo time.Duration, again bool) {
+	if int(kind) >= len(g.types) {
+		g.host.Error(id)
+		return
+	}
+	t := &g.types[kind]
+	o := &op{id: id, t: t, group: g.group(inGroup), session: session, arrived: now, due: due,
+		mark: LongPast, holdUntil: now + t.hold}
+	if t.need == Session {
+		o.mark = g.markOf(now, session, wroteAgo)
+	}
+	g.ops[id] = o
+	g.place(now, o)
+}
+
+// markOf is the position that a session's read must see.
+func (g *Gateway) markOf(now time.Duration, session uint64, wroteAgo time.Duration) time.Duration {
+	if g.carried {
+		if wroteAgo <= 0 {
+			return LongPast
+		}
+		return now - wroteAgo + wroteAgo>>20 // the age is a float: keep its rounding on the safe side
+	}
+	if m, ok := g.marks[session]; ok {
+		return m
+	}
+	if m, ok := g.oldMarks[session]; ok {
+		return m
+	}
+	return g.floor
+}
+
+// remember keeps the commit position of a session's write. Old marks fold into one floor for all
+// sessions, so memory is bounded and no read sees less than it must.
+func (g *Gateway) remember(session uint64, pos time.Duration) {
+	if g.carried || pos == LongPast {
+		return
+	}
+	if len(g.marks) >= rememberedAt {
+		g.floor = max(g.floor, g.oldNewest)
+		g.oldMarks, g.oldNewest = g.marks, g.newest
+		g.marks, g.newest = map[uint64]time.Duration{}, LongPast
+	}
+	g.marks[session] = max(pos, g.markOf(0, session, 0))
+	g.newest = max(g.newest, pos)
+}
+
+// Answer is called once for each send, when it has ended.
+func (g *Gateway) Answer(now time.Duration, id uint32, send uint8, at uint32, result Result,
+	took time.Duration, final bool, role Role, pos time.Duration) {
+	s, o := g.servers[at], g.ops[id]
+	if s != nil {
+		g.told(now, s, role, pos, now)
+	}
+	if o == nil || o.at == nil || int(send) != o.sends-1 {
+		return
+	}
+	s = o.at
+	o.at = nil
+	if i := slices.Index(s.owed, o); i >= 0 {
+		s.owed = slices.Delete(s.owed, i, i+1)
+	}
+	if result == Acked && o.t.need == Write {
+		g.remember(o.session, pos)
+	}
+	if !neverRan(result) && !o.mayHaveRun {
+		o.mayHaveRun, o.firstMaybe = true, o.sentAt
+	}
+	g.judge(now, s, o, result, took)
+	switch {
+	case final || o.done:
+		delete(g.ops, id)
+	case result == Acked:
+		delete(g.ops, id) // cannot be: the first ack is final
+	default:
+		o.missed = o.missed || result == Miss
+		g.place(now, o)
+	}
+	g.wake(now, s.group)
+}
+
+// neverRan tells which results prove that a send did not run.
+func neverRan(r Result) bool {
+	return r == ServerFull || r == NoConnection || r == NotSent || r == Miss
+}
+
+// ClientGone is called when a client has left; no answer is owed any more.
+func (g *Gateway) ClientGone(now time.Duration, id uint32) {
+	if o := g.ops[id]; o != nil {
+		g.end(o)
+	}
+}
+
+// end closes an op. What is still out is called back: queued work may yet be saved.
+func (g *Gateway) end(o *op) {
+	o.done = true
+	g.unhold(o)
+	if o.at == nil {
+		delete(g.ops, o.id)
+	} else if g.cancels && !o.cancelled {
+		o.cancelled = true
+		g.host.Cancel(o.id, uint8(o.sends-1))
+	}
+}
+
+// giveUp ends an op that cannot be served any more, at once. Rule 2: the busy reply, which says that
+// trying again is harmless, only where that is so.
+func (g *Gateway) giveUp(o *op) {
+	if o.done || o.at != nil {
+		return
+	}
+	t := o.t
+	if !o.mayHaveRun || t.effect == Retryable || t.effect == Tokened && t.scope == ScopeAll {
+		g.host.BusyReply(o.id, min(t.target, g.comeBack))
+	} else {
+		g.host.Error(o.id)
+	}
+	g.end(o)
+}
+
+// lastUseful is the latest time at which sending an op can still earn anything.
+func (g *Gateway) lastUseful(o *op) time.Duration {
+	end := o.due - 2*g.tick
+	if o.t.lateEarns {
+		return end
+	}
+	return min(end, o.arrived+o.t.target-o.t.took.quantile(0.1, o.t.target/8))
+}
+
+// place sends an op where the design wants it, holds it, or gives it up.
+func (g *Gateway) place(now time.Duration, o *op) {
+	if o.done || o.at != nil {
+		return
+	}
+	if now >= g.lastUseful(o) || !g.maySend(now, o) {
+		g.giveUp(o)
+		return
+	}
+	if s := g.choose(now, o); s != nil && g.send(now, o, s) {
+		g.unhold(o)
+		return
+	}
+	if !o.held {
+		o.held = true
+		i := slices.IndexFunc(o.group.held, func(p *op) bool { return p.t.value < o.t.value })
+		if i < 0 {
+			i = len(o.group.held)
+		}
+		o.group.held = slices.Insert(o.group.held, i, o)
+	}
+}
+
+func (g *Gateway) unhold(o *op) {
+	if o.held {
+		o.held = false
+		i := slices.Index(o.group.held, o)
+		o.group.held = slices.Delete(o.group.held, i, i+1)
+	}
+}
+
+// wake tries the held ops of a group again.
+func (g *Gateway) wake(now time.Duration, gr *group) {
+	for i := 0; i < len(gr.held); {
+		o := gr.held[i]
+		g.place(now, o)
+		if i < len(gr.held) && gr.held[i] == o {
+			i++
+		}
+	}
+}
+
+// choose follows the design: writes and fresh reads go home to the primary, other reads rotate over
+// replicas that are fresh enough; session and bounded reads wait a little for one, then go home.
+func (g *Gateway) choose(now time.Duration, o *op) *server {
+	home := o.group.home()
+	switch o.t.need {
+	case Write:
+		if home == nil {
+			return g.scout(now, o)
+		}
+		return room(home, 1)
+	case Fresh:
+		return room(home, 1)
+	}
+	want := LongPast
+	switch o.t.need {
+	case Session:
+		want = o.mark
+	case Bounded:
+		want = now - o.t.bound
+	}
+	if s := g.rotate(now, o.group, want); s != nil {
+		return s
+	}
+	if g.checked && !o.missed {
+		if s := g.mostAdvanced(o.group); s != nil {
+			return s
+		}
+	}
+	if now < o.holdUntil {
+		return nil
+	}
+	return room(home, homeShare)
+}
+
+// home is the primary, if one is known that takes work.
+func (gr *group) home() *server {
+	if p := gr.primary; p != nil && p.usable() {
+		return p
+	}
+	return nil
+}
+
+// usable tells whether a server may be considered at all.
+func (s *server) usable() bool {
+	return s.state == Ready && !s.aside && !(s.trial && len(s.owed) > 0)
+}
+
+// room returns the server if it owes less than a share of what it takes.
+func room(s *server, share float64) *server {
+	if s == nil || float64(len(s.owed)) >= s.limit*share {
+		return nil
+	}
+	return s
+}
+
+// rotate takes the next replica in turn whose position reaches want, passing over those with overdue
+// answers while there are others. A cold one gets turns as its ramp allows.
+func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) *server {
+	for _, overdueToo := range [2]bool{false, true} {
+		var best *server
+		total := 0.0
+		for _, s := range gr.members {
+			if s == gr.primary || !s.usable() || !s.trusted || s.pos < want || room(s, 1) == nil ||
+				!overdueToo && s.overdue(now) {
+				continue
+			}
+			w := s.weight * g.ramp(now, s)
+			s.credit += w
+			total += w
+			if best == nil || s.credit > best.credit {
+				best = s
+			}
+		}
+		if best != nil {
+			best.credit -= total
+			return best
+		}
+	}
+	return nil
+}
+
+// mostAdvanced is the replica to try where replicas check reads themselves.
+func (g *Gateway) mostAdvanced(gr *group) (best *server) {
+	for _, s := range gr.members {
+		if s != gr.primary && s.usable() && s.trusted && room(s, 1) != nil && (best == nil || s.pos > best.pos) {
+			best = s
+		}
+	}
+	return best
+}
+
+// scout finds a member to try a write on while the primary is unknown: in id order, each that has not
+// just said that it is none. After one round of misses a brief wait passes before the next.
+func (g *Gateway) scout(now time.Duration, o *op) *server {
+	if o.sends >= g.maxSends-1 {
+		return nil // the last send is kept for the primary once it is known
+	}
+	for _, s := range o.group.members {
+		if s.usable() && !s.overdue(now) && (s.role != Replica || now-s.roleAt > 20*g.tick) {
+			return room(s, 1)
+		}
+	}
+	return nil
+}
+
+// maySend tells whether any further send of this op can be allowed (rule 2 and the cap on sends).
+func (g *Gateway) maySend(now time.Duration, o *op) bool {
+	switch {
+	case o.sends >= g.maxSends:
+		return false
+	case !o.mayHaveRun || o.t.effect == Retryable:
+		return true
+	case o.t.effect == Tokened:
+		return now-o.firstMaybe < o.t.window-2*g.tick
+	}
+	return false
+}
+
+// send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
+func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
+	switch {
+	case o.done || o.at != nil || !g.maySend(now, o): // rules 1 and 2
+		return false
+	case s.state != Ready || s.group != o.group: // rule 3, with no use of the grace
+		return false
+	case !g.fresh(now, o, s): // rule 5
+		return false
+	case !g.coldTakes(now, s): // rule 4
+		return false
+	}
+	o.at, o.sentAt, o.cancelled = s, now, false
+	o.sends++
+	s.owed = append(s.owed, o)
+	timeout := time.Duration(0)
+	if !g.cancels && o.t.effect == Retryable {
+		timeout = o.t.target
+	}
+	g.host.Send(o.id, s.id, timeout)
+	return true
+}
+
+// fresh is rule 5: what a server has is known to be new enough, it is the primary, or it checks itself.
+func (g *Gateway) fresh(now time.Duration, o *op, s *server) bool {
+	if s == s.group.primary || g.checked {
+		return true
+	}
+	switch o.t.need {
+	case Fresh:
+		return false
+	case Session:
+		return s.pos >= o.mark
+	case Bounded:
+		return s.pos >= now-o.t.bound
+	}
+	return true
+}
+
+// ramp is the least share of its capacity that a server can have by now.
+func (g *Gateway) ramp(now time.Duration, s *server) float64 {
+	age := now - s.started
+	if s.started == LongPast || age >= g.coldTime {
+		return 1
+	}
+	return g.coldFrom + (1-g.coldFrom)*max(0, float64(age)/float64(g.coldTime))
+}
+
+// coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
+// worst-case capacity, taken from what warm servers were seen to take from this gateway.
+func (g *Gateway) coldTakes(now time.Duration, s *server) bool {
+	if g.coldPart <= 0 {
+		return true
+	}
+	sum := s.sentInWindow(int64(now / g.coldPart))
+	r := g.ramp(now-g.coldPart*slices8, s)
+	if r >= 1 {
+		g.warmTakes = max(g.warmTakes, float64(sum))
+	} else if float64(sum) >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
+		return false
+	}
+	s.sent[s.sentAt%slices8]++
+	return true
+}
+
+// sentInWindow drops the parts that have left the window and adds up the others.
+func (s *server) sentInWindow(part int64) (sum int) {
+	for s.sentAt < part {
+		s.sentAt = max(s.sentAt+1, part-slices8)
+		s.sent[s.sentAt%slices8] = 0
+	}
+	for _, n := range s.sent {
+		sum += int(n)
+	}
+	return sum
+}
+
+// told takes in what a server says of itself: role and position, the evidence being as old as at.
+func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
+	s.pos = max(s.pos, pos)
+	if role == Primary && pos != LongPast {
+		at = pos // a primary stands at the present, so its position dates the claim
+	}
+	if role == RoleUnknown || at < s.roleAt {
+		return
+	}
+	gr := s.group
+	s.role, s.roleAt = role, at
+	if role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt) {
+		if gr.primary != nil {
+			gr.primary.role = RoleUnknown
+		}
+		gr.primary = s
+		g.host.Log("primary found")
+	}
+	if role == Replica && gr.primary == s {
+		gr.primary = nil
+		g.host.Log("primary lost")
+	}
+}
+
+// Report is called with what a server's load report says, before the answer that brought it.
+func (g *Gateway) Report(now time.Duration, id uint32, role Role, pos time.Duration) {
+	if s := g.servers[id]; s != nil {
+		at := pos // a report may be old: its position is the latest time that it surely speaks of
+		if pos == LongPast {
+			at = now
+		}
+		g.told(now, s, role, pos, at)
+		g.wake(now, s.group)
+	}
+}
+
+// judge draws from one result what it says of a server's health and of how much it takes.
+func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
+	t := o.t
+	switch result {
+	case Acked:
+		s.heard, s.trusted, s.trial, s.wait = now, true, false, 0
+		s.errors *= 0.8
+		t.took.add(took, t.target)
+		if took > t.target {
+			if s.learning = false; now-s.cutAt > took {
+				s.limit, s.cutAt = max(s.limit*cut, 2), now
+			}
+		} else if float64(len(s.owed)+1) >= s.limit*0.75 {
+			if s.learning {
+				s.limit++
+			} else {
+				s.limit += 1 / s.limit
+			}
+		}
+	case Miss:
+		s.heard = now
+	case ServerFull:
+		s.heard = now
+		s.learning, s.limit = false, max(2, min(s.limit, float64(len(s.owed)))*cut)
+	case ServerError:
+		s.heard = now
+		s.errors = s.errors*0.8 + 0.2
+		if s.errors > 0.45 || s.trial {
+			g.setAside(now, s)
+		}
+	case NoConnection, Reset:
+		g.setAside(now, s)
+	}
+}
+
+// setAside takes a server out of use until it has answered probes; each failed return doubles the wait.
+func (g *Gateway) setAside(now time.Duration, s *server) {
+	if s.aside || !g.probes {
+		return
+	}
+	s.aside, s.trial, s.probesOK = true, false, 0
+	s.wait = min(max(2*s.wait, 10*g.tick), 320*g.tick)
+	s.nextProbe = now + s.wait
+	g.host.Log("server set aside")
+	for _, o := range s.owed {
+		g.callBack(o)
+	}
+}
+
+// callBack cancels a send whose op may still go elsewhere.
+func (g *Gateway) callBack(o *op) {
+	if !g.cancels || o.cancelled || o.done || o.t.effect == NonRetryable || o.sends >= g.maxSends {
+		return
+	}
+	o.cancelled = true
+	g.host.Cancel(o.id, uint8(o.sends-1))
+}
+
+// overdue tells whether a server owes an answer for longer than its op type's answers take.
+func (s *server) overdue(now time.Duration) bool {
+	for _, o := range s.owed {
+		if now-o.sentAt > o.t.overdue() {
+			return true
+		}
+	}
+	return false
+}
+
+// silent tells whether a server has been given time enough for an answer and sent none at all.
+func (s *server) silent(now time.Duration) bool {
+	for _, o := range s.owed {
+		if limit := o.t.overdue(); now-o.sentAt > limit && now-s.heard > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// ProbeAnswer is called once for each probe.
+func (g *Gateway) ProbeAnswer(now time.Duration, id uint32, result Result, took time.Duration) {
+	s := g.servers[id]
+	if s == nil {
+		return
+	}
+	s.probeOut = false
+	if result != Acked {
+		s.probesOK = 0
+		if result == NoConnection || result == Reset || result == TimedOut {
+			g.setAside(now, s)
+		}
+		return
+	}
+	s.trusted = true
+	if s.probesOK++; s.aside && s.probesOK >= answered {
+		s.aside, s.trial, s.errors = false, true, 0
+		s.limit, s.learning = 2, true
+	}
+	g.wake(now, s.group)
+}
+
+// List is called with the server list as the host last held it, in full, or with changes to it.
+func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
+	if scope == ListFailed {
+		g.askAt = now + g.askWait
+		g.askWait = min(2*g.askWait, g.maxWait)
+		return
+	}
+	if scope != ListCached {
+		g.askWait, g.askAt = g.askWaitMin, 0
+	}
+	if scope != ListChanges {
+		for _, s := range g.ordered {
+			if !slices.ContainsFunc(listed, func(l Listed) bool { return l.ID == s.id }) {
+				s.state = Gone
+			}
+		}
+	}
+	for i := range listed {
+		g.listed(now, &listed[i])
+	}
+	for _, gr := range g.byID {
+		g.wake(now, gr)
+	}
+}
+
+func (g *Gateway) listed(now time.Duration, l *Listed) {
+	s := g.servers[l.ID]
+	if s == nil {
+		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
+			limit: startLimit, learning: true, cutAt: LongPast, heard: LongPast}
+		g.servers[l.ID] = s
+		byID := func(a, b *server) int { return int(int64(a.id) - int64(b.id)) }
+		i, _ := slices.BinarySearchFunc(g.ordered, s, byID)
+		g.ordered = slices.Insert(g.ordered, i, s)
+		i, _ = slices.BinarySearchFunc(s.group.members, s, byID)
+		s.group.members = slices.Insert(s.group.members, i, s)
+	}
+	if s.started != l.Started { // it has started again: what was known of it holds no more
+		s.started, s.trusted, s.limit, s.learning = l.Started, false, startLimit, true
+	}
+	s.zone, s.state, s.weight = l.Zone, l.State, float64(l.Weight)
+	if s.weight <= 0 {
+		s.weight = 1
+	}
+	// The list is late: its word on roles counts only where the server has not spoken itself.
+	if g.listRoles && l.Primary && s.roleAt == LongPast {
+		g.told(now, s, Primary, LongPast, LongPast)
+	}
+}
+
+func (g *Gateway) group(id uint16) *group {
+	gr := g.groups[id]
+	if gr == nil {
+		gr = &group{}
+		g.groups[id] = gr
+		g.byID = append(g.byID, gr)
+	}
+	return gr
+}
+
+// Timer is called when a timer that the gateway set has come due.
+func (g *Gateway) Timer(now time.Duration, id uint32) {
+	g.host.Timer(0, now+g.tick)
+	if g.asked && g.askAt > 0 && now >= g.askAt {
+		g.askAt = now + g.maxWait
+		g.host.WatchList()
+	}
+	for _, s := range g.ordered {
+		if s.silent(now) {
+			// A server that answers nothing while it owes: hung, dead, cut off or jammed alike.
+			g.setAside(now, s)
+		}
+		if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe &&
+			(s.aside || !s.trusted || g.steady > 0 || s.group.primary == nil && len(s.group.held) > 0) {
+			s.probeOut = true
+			s.nextProbe = now + max(g.steady, s.wait, 10*g.tick)
+			g.host.Probe(s.id)
+		}
+	}
+	for _, gr := range g.byID {
+		g.wake(now, gr)
+	}
+}
