--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,8 +10,6 @@
 // (send); roles and positions; health; the list and the clock.
 
 import (
-	"encoding/binary"
-	"hash/crc32"
 	"slices"
 	"time"
 )
@@ -23,9 +21,11 @@
 	cut          = 0.8  // what a server takes shrinks so when an answer misses its latency target
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
-	late         = 0.98 // an answer later than this share of its type's answers is overdue
+	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
+	silentAfter  = 6    // usual answer times, over all sends owed, without a word: one in four hundred
 	answered     = 2    // probes that bring a server back that was set aside
-	slices8      = 8    // parts of the window in which work for a cold server is counted
+	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
+	parts        = 8    // parts of the window in which work for a cold server is counted
 	coldCaution  = 0.5  // of the allowance for a cold server that is used: counts stand in for work
 	rememberedAt = 4096 // session marks kept one by one; older ones fold into one floor
 )
@@ -51,20 +51,35 @@
 	}
 }
 
-// quantile is the upper edge of the bin that holds the share q, or the unit where too little is known.
-func (h *histogram) quantile(q float64, unit time.Duration) time.Duration {
-	if h.total < fullTurn/4 {
-		return unit
+// mean is the average, or the unit's quarter where too little is known.
+func (h *histogram) mean(unit time.Duration) time.Duration {
+	if h.total < fullTurn/8 {
+		return unit / 4
 	}
-	want, edge := uint32(q*float64(h.total)), unit/32
+	sum, middle := 0.0, float64(unit)/32*0.75
 	for _, n := range h.bins {
-		if want < n {
-			break
-		}
-		want -= n
-		edge *= 2
+		sum += float64(n) * middle
+		middle *= 2
+	}
+	return time.Duration(sum / float64(h.total))
+}
+
+// window counts events over the stated overload window, in parts.
+type window struct {
+	counts [parts]uint16
+	newest int64
+}
+
+// sum drops the parts that have left the window and adds up the others.
+func (w *window) sum(part int64) (sum float64) {
+	for w.newest < part {
+		w.newest = max(w.newest+1, part-parts)
+		w.counts[w.newest%parts] = 0
+	}
+	for _, n := range w.counts {
+		sum += float64(n)
 	}
-	return min(edge, 2*unit)
+	return sum
 }
 
 type opType struct {
@@ -78,8 +93,8 @@
 	took          histogram // answer times as parts of the latency target
 }
 
-// overdue is the age at which an answer to a send of this type is called overdue.
-func (t *opType) overdue() time.Duration { return min(t.took.quantile(late, t.target), t.target) }
+// usual is what an answer to this type takes these days.
+func (t *opType) usual() time.Duration { return t.took.mean(t.target) }
 
 type op struct {
 	id         uint32
@@ -110,24 +125,23 @@
 	role     Role
 	roleAt   time.Duration // how new the newest evidence of the role is
 	pos      time.Duration // the newest position told; it never goes back
-	trusted  bool          // it has answered a probe or an op
 	owed     []*op         // sends out, oldest first
 	heard    time.Duration // its newest sign of life in answer to a send
 	limit    float64       // sends that it may owe
 	learning bool          // no answer has been late yet: the limit grows fast
 	cutAt    time.Duration
 	credit   float64 // in the rotation
-	errors   float64 // recent share of its answers that were errors
+	bad      int     // answers that were errors, and others; both halved now and then
+	good     int
 
-	aside     bool
-	trial     bool // back from aside, one send at a time until one is acked
-	probesOK  int
+	suspect   bool // set aside
+	needs     int  // probes that it must answer before it is used
+	trial     bool // back, but one send at a time until one is acked
 	probeOut  bool
 	nextProbe time.Duration
-	wait      time.Duration // between probes while aside
+	wait      time.Duration // between probes while set aside
 
-	sent   [slices8]uint16 // sends in the last parts of the overload window
-	sentAt int64           // the newest part counted
+	sent, acked window
 }
 
 type group struct {
@@ -142,8 +156,7 @@
 	types   []opType
 	zone    uint8
 	tick    time.Duration
-	seed    uint64
-	count   uint64
+	brief   time.Duration // the design's brief wait
 	ops     map[uint32]*op
 	servers map[uint32]*server
 	ordered []*server // in id order
@@ -162,7 +175,7 @@
 
 	coldFrom, coldMultiple float64 // the multiple is this gateway's share
 	coldTime, coldPart     time.Duration
-	warmTakes              float64 // most sends that a warm server took from here in one window
+	warmTakes              float64 // most that a warm server acked from here in one window
 
 	marks, oldMarks map[uint64]time.Duration
 	newest          time.Duration // the newest mark in marks
@@ -173,14 +186,14 @@
 // New makes a gateway's decision module. The host hands over the cached list next.
 func New(h Host, d *Deployment, seed uint64) *Gateway {
 	g := &Gateway{
-		host: h, zone: d.Zone, tick: max(d.Round, time.Millisecond), seed: seed,
+		host: h, zone: d.Zone, tick: max(d.Round, time.Millisecond), 
 		ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, tells: d.TellsPosition,
 		probes: d.Probes, cancels: d.Cancels, listRoles: d.ListRoles,
 		onlyDraining: d.OnlyDrainingBinds, maxSends: d.MaxSends,
 		asked: d.ListAsked, askWaitMin: d.AskWithin / 32, maxWait: d.AskWithin / 4,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
-		coldPart: d.OverloadTime / slices8,
+		coldPart: d.OverloadTime / parts, brief: time.Hour,
 		marks:    map[uint64]time.Duration{}, newest: LongPast, oldNewest: LongPast, floor: LongPast,
 	}
 	if d.ComeBack {
@@ -190,6 +203,7 @@
 		g.maxSends = 1
 	}
 	for _, t := range d.OpTypes {
+		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
 			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, value: t.Value, lateEarns: t.LateValue > 0})
 		if t.Need == Bounded && d.ReportsPosition && !d.TellsPosition && (g.steady == 0 || t.Bound/2 < g.steady) {
@@ -205,15 +219,6 @@
 	return g
 }
 
-// chance is a number in [0,1) from the seed and a counter.
-func (g *Gateway) chance() float64 {
-	var b [16]byte
-	g.count++
-	binary.BigEndian.PutUint64(b[:], g.seed)
-	binary.BigEndian.PutUint64(b[8:], g.count)
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
 // Op is called when a client's op comes in. wroteAgo is 0 where the session's last write is not told.
 func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
 	inGroup uint16, wroteAgo time.Duration, again bool) {
@@ -342,7 +347,7 @@
 	if o.t.lateEarns {
 		return end
 	}
-	return min(end, o.arrived+o.t.target-o.t.took.quantile(0.1, o.t.target/8))
+	return min(end, o.arrived+o.t.target-o.t.usual()/2)
 }
 
 // place sends an op where the design wants it, holds it, or gives it up.
@@ -431,7 +436,7 @@
 
 // usable tells whether a server may be considered at all.
 func (s *server) usable() bool {
-	return s.state == Ready && !s.aside && !(s.trial && len(s.owed) > 0)
+	return s.state == Ready && !s.suspect && !(s.trial && len(s.owed) > 0)
 }
 
 // room returns the server if it owes less than a share of what it takes.
@@ -449,7 +454,7 @@
 		var best *server
 		total := 0.0
 		for _, s := range gr.members {
-			if s == gr.primary || !s.usable() || !s.trusted || s.pos < want || room(s, 1) == nil ||
+			if s == gr.primary || !s.usable() || s.needs > 0 || s.pos < want || room(s, 1) == nil ||
 				!overdueToo && s.overdue(now) {
 				continue
 			}
@@ -471,7 +476,7 @@
 // mostAdvanced is the replica to try where replicas check reads themselves.
 func (g *Gateway) mostAdvanced(gr *group) (best *server) {
 	for _, s := range gr.members {
-		if s != gr.primary && s.usable() && s.trusted && room(s, 1) != nil && (best == nil || s.pos > best.pos) {
+		if s != gr.primary && s.usable() && s.needs == 0 && room(s, 1) != nil && (best == nil || s.pos > best.pos) {
 			best = s
 		}
 	}
@@ -485,7 +490,7 @@
 		return nil // the last send is kept for the primary once it is known
 	}
 	for _, s := range o.group.members {
-		if s.usable() && !s.overdue(now) && (s.role != Replica || now-s.roleAt > 20*g.tick) {
+		if s.usable() && !s.overdue(now) && (s.role != Replica || now-s.roleAt > g.brief) {
 			return room(s, 1)
 		}
 	}
@@ -559,29 +564,15 @@
 	if g.coldPart <= 0 {
 		return true
 	}
-	sum := s.sentInWindow(int64(now / g.coldPart))
-	r := g.ramp(now-g.coldPart*slices8, s)
-	if r >= 1 {
-		g.warmTakes = max(g.warmTakes, float64(sum))
-	} else if float64(sum) >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
+	part := int64(now / g.coldPart)
+	sum, r := s.sent.sum(part), g.ramp(now-g.coldPart*parts, s)
+	if r < 1 && sum >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
 		return false
 	}
-	s.sent[s.sentAt%slices8]++
+	s.sent.counts[part%parts]++
 	return true
 }
 
-// sentInWindow drops the parts that have left the window and adds up the others.
-func (s *server) sentInWindow(part int64) (sum int) {
-	for s.sentAt < part {
-		s.sentAt = max(s.sentAt+1, part-slices8)
-		s.sent[s.sentAt%slices8] = 0
-	}
-	for _, n := range s.sent {
-		sum += int(n)
-	}
-	return sum
-}
-
 // told takes in what a server says of itself: role and position, the evidence being as old as at.
 func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
@@ -623,9 +614,16 @@
 	t := o.t
 	switch result {
 	case Acked:
-		s.heard, s.trusted, s.trial, s.wait = now, true, false, 0
-		s.errors *= 0.8
+		s.heard, s.trial, s.wait = now, false, 0
+		s.good++
 		t.took.add(took, t.target)
+		if g.coldPart > 0 {
+			part := int64(now / g.coldPart)
+			if n := s.acked.sum(part) + 1; g.ramp(now, s) >= 1 {
+				g.warmTakes = max(g.warmTakes, n)
+			}
+			s.acked.counts[part%parts]++
+		}
 		if took > t.target {
 			if s.learning = false; now-s.cutAt > took {
 				s.limit, s.cutAt = max(s.limit*cut, 2), now
@@ -644,22 +642,25 @@
 		s.learning, s.limit = false, max(2, min(s.limit, float64(len(s.owed)))*cut)
 	case ServerError:
 		s.heard = now
-		s.errors = s.errors*0.8 + 0.2
-		if s.errors > 0.45 || s.trial {
+		// A primary that fails some ops is still the only one for writes.
+		if s.bad++; s != s.group.primary && (s.trial || s.bad > 2 && s.bad > s.good) {
 			g.setAside(now, s)
 		}
 	case NoConnection, Reset:
 		g.setAside(now, s)
 	}
+	if s.bad+s.good >= fullTurn/4 {
+		s.bad, s.good = s.bad/2, s.good/2
+	}
 }
 
 // setAside takes a server out of use until it has answered probes; each failed return doubles the wait.
 func (g *Gateway) setAside(now time.Duration, s *server) {
-	if s.aside || !g.probes {
+	if s.suspect || !g.probes {
 		return
 	}
-	s.aside, s.trial, s.probesOK = true, false, 0
-	s.wait = min(max(2*s.wait, 10*g.tick), 320*g.tick)
+	s.suspect, s.trial, s.needs, s.cutAt = true, false, answered, now
+	s.wait = min(max(2*s.wait, g.brief/4), 32*g.brief)
 	s.nextProbe = now + s.wait
 	g.host.Log("server set aside")
 	for _, o := range s.owed {
@@ -679,21 +680,21 @@
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
 	for _, o := range s.owed {
-		if now-o.sentAt > o.t.overdue() {
+		if now-o.sentAt > overdueAfter*o.t.usual() {
 			return true
 		}
 	}
 	return false
 }
 
-// silent tells whether a server has been given time enough for an answer and sent none at all.
+// silent tells whether a server that owes answers has been quiet for longer than chance explains:
+// hung, dead, cut off or jammed alike. The more it owes, the sooner it shows.
 func (s *server) silent(now time.Duration) bool {
+	sum := 0.0
 	for _, o := range s.owed {
-		if limit := o.t.overdue(); now-o.sentAt > limit && now-s.heard > limit {
-			return true
-		}
+		sum += float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual())
 	}
-	return false
+	return sum > silentAfter
 }
 
 // ProbeAnswer is called once for each probe.
@@ -704,16 +705,17 @@
 	}
 	s.probeOut = false
 	if result != Acked {
-		s.probesOK = 0
 		if result == NoConnection || result == Reset || result == TimedOut {
 			g.setAside(now, s)
+			s.needs = answered
 		}
 		return
 	}
-	s.trusted = true
-	if s.probesOK++; s.aside && s.probesOK >= answered {
-		s.aside, s.trial, s.errors = false, true, 0
-		s.limit, s.learning = 2, true
+	if s.needs--; s.needs <= 0 {
+		if s.needs = 0; s.suspect {
+			s.suspect, s.bad, s.good = false, 0, 0
+			s.trial = s.heard < s.cutAt // nothing heard since it was set aside
+		}
 	}
 	g.wake(now, s.group)
 }
@@ -747,7 +749,7 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: startLimit, learning: true, cutAt: LongPast, heard: LongPast}
+			limit: startLimit, learning: true, needs: 1, cutAt: LongPast, heard: LongPast}
 		g.servers[l.ID] = s
 		byID := func(a, b *server) int { return int(int64(a.id) - int64(b.id)) }
 		i, _ := slices.BinarySearchFunc(g.ordered, s, byID)
@@ -756,12 +758,15 @@
 		s.group.members = slices.Insert(s.group.members, i, s)
 	}
 	if s.started != l.Started { // it has started again: what was known of it holds no more
-		s.started, s.trusted, s.limit, s.learning = l.Started, false, startLimit, true
+		s.started, s.needs, s.limit, s.learning = l.Started, 1, startLimit, true
 	}
 	s.zone, s.state, s.weight = l.Zone, l.State, float64(l.Weight)
 	if s.weight <= 0 {
 		s.weight = 1
 	}
+	if s.state != Ready && s.group.primary == s {
+		s.group.primary, s.role = nil, RoleUnknown
+	}
 	// The list is late: its word on roles counts only where the server has not spoken itself.
 	if g.listRoles && l.Primary && s.roleAt == LongPast {
 		g.told(now, s, Primary, LongPast, LongPast)
@@ -787,13 +792,12 @@
 	}
 	for _, s := range g.ordered {
 		if s.silent(now) {
-			// A server that answers nothing while it owes: hung, dead, cut off or jammed alike.
 			g.setAside(now, s)
 		}
 		if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe &&
-			(s.aside || !s.trusted || g.steady > 0 || s.group.primary == nil && len(s.group.held) > 0) {
+			(s.needs > 0 || g.steady > 0 || len(s.group.held) > 0 && s.group.home() == nil) {
 			s.probeOut = true
-			s.nextProbe = now + max(g.steady, s.wait, 10*g.tick)
+			s.nextProbe = now + max(g.steady, s.wait, g.brief)
 			g.host.Probe(s.id)
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -52,7 +52,7 @@
 	g.List(0, ListCached, []Listed{{ID: 1, State: Ready, Primary: true, Started: LongPast},
 		{ID: 2, State: Ready, Started: LongPast}, {ID: 3, State: Ready, Started: LongPast}})
 	for _, s := range g.ordered {
-		s.trusted, s.pos = true, 0
+		s.needs, s.pos = 0, 0
 	}
 	h.lines = nil
 	return g, h
