Ask for one long wait before a server is called silent

Cause: with many sends owed, their waits add up in a jam although answers keep coming. Guards against hung, dead, cut-off servers alike; it could harm a server whose answers pause for long under a burst.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -690,11 +690,12 @@
 // silent tells whether a server that owes answers has been quiet for longer than chance explains:
 // hung, dead, cut off or jammed alike. The more it owes, the sooner it shows.
 func (s *server) silent(now time.Duration) bool {
-	sum := 0.0
+	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
-		sum += float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual())
+		wait := float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual())
+		sum, longest = sum+wait, max(longest, wait)
 	}
-	return sum > silentAfter
+	return sum > silentAfter && longest > overdueAfter
 }
 
 // ProbeAnswer is called once for each probe.
