Shrink what a server may owe at half the latency target

Cause: with the limit shrinking only at answers past the latency target, queues stood at the target and half of what was sent came late.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -624,7 +624,7 @@
 			}
 			s.acked.counts[part%parts]++
 		}
-		if took > t.target {
+		if took > t.target/2 {
 			if s.learning = false; now-s.cutAt > took {
 				s.limit, s.cutAt = max(s.limit*cut, 2), now
 			}
