--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,7 +18,7 @@
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
 	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes: writes need the rest
-	cut          = 0.8  // what a server takes shrinks so when an answer misses its latency target
+	cut          = 0.7  // what a server takes shrinks so when an answer misses its latency target
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
 	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
