Order held ops by value per server time and drop tries whose target has passed

Cause: under overload a third to half of the sends went to client retries whose latency target, counted from the first try, had passed; the op timeout shows when a cut-short try began. Held ops now wait by value per usual server time, limits shrink at a third of the target, and only reads are called back from a silent replica. It could harm clients that shorten a try for reasons of their own.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,7 +18,8 @@
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
 	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes: writes need the rest
-	cut          = 0.7  // what a server takes shrinks so when an answer misses its latency target
+	fullShare    = 3    // answers later than this part of the latency target show a queue at the server
+	cut          = 0.8  // what a server may owe shrinks so at such an answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
 	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
@@ -88,8 +89,9 @@
 	need          Need
 	window, bound time.Duration
 	target, hold  time.Duration
-	value         float64
-	lateEarns     bool
+	timeout       time.Duration
+	value, late   float64   // late: the share of the value that is left past the latency target
+	tryShare      float64   // the longest time that clients give a try, as a share of the op timeout
 	took          histogram // answer times as parts of the latency target
 }
 
@@ -102,15 +104,17 @@
 	group      *group
 	session    uint64
 	mark       time.Duration // the position that a session read must see
-	arrived    time.Duration
+	targetAt   time.Duration // when its latency target passes, counted from the client's first try
 	due        time.Duration
 	holdUntil  time.Duration
+	worth      float64 // value for each unit of a server's time, while held
 	sends      int
 	at         *server // where a send is out, or nil
 	sentAt     time.Duration
-	cancelled  bool
 	mayHaveRun bool
-	firstMaybe time.Duration // when the first send that may have run went out
+	maybeAt    time.Duration // when and
+	maybeZone  uint8         // where the first send that may have run went out
+	cancelled  bool          // the send that is out was called back
 	missed     bool          // a replica has turned this read away
 	held, done bool
 }
@@ -154,65 +158,54 @@
 type Gateway struct {
 	host    Host
 	types   []opType
-	zone    uint8
-	tick    time.Duration
-	brief   time.Duration // the design's brief wait
 	ops     map[uint32]*op
 	servers map[uint32]*server
 	ordered []*server // in id order
 	groups  map[uint16]*group
-	byID    []*group
+	listed  []*group // in the order in which they were first named
 
-	checked, carried, tells, probes, cancels bool
-	listRoles, onlyDraining                  bool
-	maxSends                                 int
-	steady                                   time.Duration // between probes where answers tell no position
-	comeBack                                 time.Duration // the longest wait a client honours; 0: none is told
+	tick, brief            time.Duration // between looks at the clock; the design's brief wait
+	checked, carried       bool          // replicas check reads; a session read tells its mark
+	probes, cancels, roles bool          // allowed; allowed; reports tell roles
+	listRoles, goneMayRun  bool          // the list tells roles; its word that a server is gone proves nothing
+	maxSends               int
+	steady                 time.Duration // between probes where answers tell no position
+	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
 
-	asked               bool
-	askAt, askWait      time.Duration
-	askWaitMin, maxWait time.Duration
+	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
 
-	coldFrom, coldMultiple float64 // the multiple is this gateway's share
+	coldFrom, coldMultiple float64
 	coldTime, coldPart     time.Duration
 	warmTakes              float64 // most that a warm server acked from here in one window
 
-	marks, oldMarks map[uint64]time.Duration
-	newest          time.Duration // the newest mark in marks
-	oldNewest       time.Duration
-	floor           time.Duration // sessions without a mark may have written up to here
+	marks, oldMarks          map[uint64]time.Duration // by session
+	newest, oldNewest, floor time.Duration            // the newest mark of each, and of all that were dropped
 }
 
 // New makes a gateway's decision module. The host hands over the cached list next.
-func New(h Host, d *Deployment, seed uint64) *Gateway {
+func New(h Host, d *Deployment) *Gateway {
 	g := &Gateway{
-		host: h, zone: d.Zone, tick: max(d.Round, time.Millisecond), 
-		ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
-		checked: d.Checks != Unchecked, carried: d.MarksCarried, tells: d.TellsPosition,
-		probes: d.Probes, cancels: d.Cancels, listRoles: d.ListRoles,
-		onlyDraining: d.OnlyDrainingBinds, maxSends: d.MaxSends,
-		asked: d.ListAsked, askWaitMin: d.AskWithin / 32, maxWait: d.AskWithin / 4,
+		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
+		tick: max(d.Round, time.Millisecond), brief: time.Hour,
+		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
+		roles: d.ReportsRole, listRoles: d.ListRoles, goneMayRun: d.OnlyDrainingBinds,
+		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
-		coldPart: d.OverloadTime / parts, brief: time.Hour,
+		coldPart: max(1, d.OverloadTime/parts),
 		marks:    map[uint64]time.Duration{}, newest: LongPast, oldNewest: LongPast, floor: LongPast,
 	}
-	if d.ComeBack {
-		g.comeBack = d.MaxComeBack
-	}
-	if g.maxSends == 0 {
-		g.maxSends = 1
-	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
-			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, value: t.Value, lateEarns: t.LateValue > 0})
+			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, timeout: t.Timeout, value: t.Value,
+			late: t.LateValue})
 		if t.Need == Bounded && d.ReportsPosition && !d.TellsPosition && (g.steady == 0 || t.Bound/2 < g.steady) {
 			g.steady = t.Bound / 2
 		}
 	}
-	if g.asked {
-		g.askWait = g.askWaitMin
-		g.askAt = g.maxWait
+	if d.ListAsked {
+		g.askMin, g.askMax = d.AskWithin/32, d.AskWithin/4
+		g.askWait, g.askAt = g.askMin, g.askMax
 		h.WatchList()
 	}
 	h.Timer(0, g.tick)
@@ -221,14 +214,20 @@
 
 // Op is called when a client's op comes in. wroteAgo is 0 where the session's last write is not told.
 func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
-	inGroup uint16, wroteAgo time.Duration, again bool) {
+	inGroup uint16, wroteAgo time.Duration) {
 	if int(kind) >= len(g.types) {
 		g.host.Error(id)
 		return
 	}
 	t := &g.types[kind]
-	o := &op{id: id, t: t, group: g.group(inGroup), session: session, arrived: now, due: due,
+	o := &op{id: id, t: t, group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: LongPast, holdUntil: now + t.hold}
+	// A try that is given less time than others has been cut short by the op timeout, which counts from
+	// the client's first try. So its start is known, and with it what an answer can still earn.
+	share := float64(due-now) / float64(max(t.timeout, 1))
+	if t.tryShare = max(t.tryShare, share); share < 0.98*t.tryShare {
+		o.targetAt = due - t.timeout + t.target
+	}
 	if t.need == Session {
 		o.mark = g.markOf(now, session, wroteAgo)
 	}
@@ -287,15 +286,12 @@
 		g.remember(o.session, pos)
 	}
 	if !neverRan(result) && !o.mayHaveRun {
-		o.mayHaveRun, o.firstMaybe = true, o.sentAt
+		o.mayHaveRun, o.maybeAt, o.maybeZone = true, o.sentAt, s.zone
 	}
 	g.judge(now, s, o, result, took)
-	switch {
-	case final || o.done:
+	if final || o.done || result == Acked {
 		delete(g.ops, id)
-	case result == Acked:
-		delete(g.ops, id) // cannot be: the first ack is final
-	default:
+	} else {
 		o.missed = o.missed || result == Miss
 		g.place(now, o)
 	}
@@ -343,11 +339,10 @@
 
 // lastUseful is the latest time at which sending an op can still earn anything.
 func (g *Gateway) lastUseful(o *op) time.Duration {
-	end := o.due - 2*g.tick
-	if o.t.lateEarns {
-		return end
+	if o.t.late > 0 {
+		return o.due - 2*g.tick
 	}
-	return min(end, o.arrived+o.t.target-o.t.usual()/2)
+	return min(o.due-2*g.tick, o.targetAt-o.t.usual()/2)
 }
 
 // place sends an op where the design wants it, holds it, or gives it up.
@@ -364,8 +359,11 @@
 		return
 	}
 	if !o.held {
-		o.held = true
-		i := slices.IndexFunc(o.group.held, func(p *op) bool { return p.t.value < o.t.value })
+		o.held, o.worth = true, o.t.value/float64(o.t.usual())
+		if now > o.targetAt {
+			o.worth *= o.t.late
+		}
+		i := slices.IndexFunc(o.group.held, func(p *op) bool { return p.worth < o.worth })
 		if i < 0 {
 			i = len(o.group.held)
 		}
@@ -505,7 +503,7 @@
 	case !o.mayHaveRun || o.t.effect == Retryable:
 		return true
 	case o.t.effect == Tokened:
-		return now-o.firstMaybe < o.t.window-2*g.tick
+		return now-o.maybeAt < o.t.window-2*g.tick
 	}
 	return false
 }
@@ -515,6 +513,8 @@
 	switch {
 	case o.done || o.at != nil || !g.maySend(now, o): // rules 1 and 2
 		return false
+	case o.mayHaveRun && o.t.effect == Tokened && o.t.scope == ScopeZone && s.zone != o.maybeZone: // rule 2
+		return false
 	case s.state != Ready || s.group != o.group: // rule 3, with no use of the grace
 		return false
 	case !g.fresh(now, o, s): // rule 5
@@ -561,9 +561,6 @@
 // coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
 // worst-case capacity, taken from what warm servers were seen to take from this gateway.
 func (g *Gateway) coldTakes(now time.Duration, s *server) bool {
-	if g.coldPart <= 0 {
-		return true
-	}
 	part := int64(now / g.coldPart)
 	sum, r := s.sent.sum(part), g.ramp(now-g.coldPart*parts, s)
 	if r < 1 && sum >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
@@ -617,14 +614,12 @@
 		s.heard, s.trial, s.wait = now, false, 0
 		s.good++
 		t.took.add(took, t.target)
-		if g.coldPart > 0 {
-			part := int64(now / g.coldPart)
-			if n := s.acked.sum(part) + 1; g.ramp(now, s) >= 1 {
-				g.warmTakes = max(g.warmTakes, n)
-			}
-			s.acked.counts[part%parts]++
+		part := int64(now / g.coldPart)
+		if n := s.acked.sum(part) + 1; g.ramp(now, s) >= 1 {
+			g.warmTakes = max(g.warmTakes, n)
 		}
-		if took > t.target/2 {
+		s.acked.counts[part%parts]++
+		if took > t.target/fullShare {
 			if s.learning = false; now-s.cutAt > took {
 				s.limit, s.cutAt = max(s.limit*cut, 2), now
 			}
@@ -663,18 +658,18 @@
 	s.wait = min(max(2*s.wait, g.brief/4), 32*g.brief)
 	s.nextProbe = now + s.wait
 	g.host.Log("server set aside")
-	for _, o := range s.owed {
-		g.callBack(o)
-	}
 }
 
-// callBack cancels a send whose op may still go elsewhere.
-func (g *Gateway) callBack(o *op) {
-	if !g.cancels || o.cancelled || o.done || o.t.effect == NonRetryable || o.sends >= g.maxSends {
-		return
+// callBack cancels the reads that a silent replica owes, so that others can answer them in time. Writes
+// stay out: only this server could say how they ended.
+func (g *Gateway) callBack(now time.Duration, s *server) {
+	for _, o := range s.owed {
+		if g.cancels && !o.cancelled && !o.done && o.t.effect == Retryable && o.sends < g.maxSends &&
+			now < g.lastUseful(o) {
+			o.cancelled = true
+			g.host.Cancel(o.id, uint8(o.sends-1))
+		}
 	}
-	o.cancelled = true
-	g.host.Cancel(o.id, uint8(o.sends-1))
 }
 
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
@@ -725,28 +720,28 @@
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
 	if scope == ListFailed {
 		g.askAt = now + g.askWait
-		g.askWait = min(2*g.askWait, g.maxWait)
+		g.askWait = min(2*g.askWait, g.askMax)
 		return
 	}
 	if scope != ListCached {
-		g.askWait, g.askAt = g.askWaitMin, 0
+		g.askWait, g.askAt = g.askMin, 0
 	}
 	if scope != ListChanges {
 		for _, s := range g.ordered {
 			if !slices.ContainsFunc(listed, func(l Listed) bool { return l.ID == s.id }) {
-				s.state = Gone
+				g.line(now, &Listed{ID: s.id, Zone: s.zone, Started: s.started})
 			}
 		}
 	}
 	for i := range listed {
-		g.listed(now, &listed[i])
+		g.line(now, &listed[i])
 	}
-	for _, gr := range g.byID {
+	for _, gr := range g.listed {
 		g.wake(now, gr)
 	}
 }
 
-func (g *Gateway) listed(now time.Duration, l *Listed) {
+func (g *Gateway) line(now time.Duration, l *Listed) {
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
@@ -761,6 +756,10 @@
 	if s.started != l.Started { // it has started again: what was known of it holds no more
 		s.started, s.needs, s.limit, s.learning = l.Started, 1, startLimit, true
 	}
+	if l.State == Gone && g.goneMayRun && s.state == Ready {
+		g.setAside(now, s)
+		return
+	}
 	s.zone, s.state, s.weight = l.Zone, l.State, float64(l.Weight)
 	if s.weight <= 0 {
 		s.weight = 1
@@ -779,7 +778,7 @@
 	if gr == nil {
 		gr = &group{}
 		g.groups[id] = gr
-		g.byID = append(g.byID, gr)
+		g.listed = append(g.listed, gr)
 	}
 	return gr
 }
@@ -787,22 +786,25 @@
 // Timer is called when a timer that the gateway set has come due.
 func (g *Gateway) Timer(now time.Duration, id uint32) {
 	g.host.Timer(0, now+g.tick)
-	if g.asked && g.askAt > 0 && now >= g.askAt {
-		g.askAt = now + g.maxWait
+	if g.askAt > 0 && now >= g.askAt {
+		g.askAt = now + g.askMax
 		g.host.WatchList()
 	}
 	for _, s := range g.ordered {
 		if s.silent(now) {
 			g.setAside(now, s)
+			if s != s.group.primary {
+				g.callBack(now, s)
+			}
 		}
-		if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe &&
-			(s.needs > 0 || g.steady > 0 || len(s.group.held) > 0 && s.group.home() == nil) {
+		if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
+			g.roles && len(s.group.held) > 0 && s.group.home() == nil) {
 			s.probeOut = true
 			s.nextProbe = now + max(g.steady, s.wait, g.brief)
 			g.host.Probe(s.id)
 		}
 	}
-	for _, gr := range g.byID {
+	for _, gr := range g.listed {
 		g.wake(now, gr)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -36,8 +36,8 @@
 
 // start makes a gateway with one group: primary 1, replicas 2 and 3, warm, trusted, at position 0.
 func start(change func(*Deployment)) (*Gateway, *diary) {
-	d := &Deployment{Gateways: 1, Round: 5 * ms, ListRoles: true, TellsPosition: true, MarksCarried: true,
-		Probes: true, Cancels: true, ComeBack: true, MaxComeBack: time.Second, MaxSends: 4,
+	d := &Deployment{Round: 5 * ms, ListRoles: true, TellsPosition: true, MarksCarried: true,
+		Probes: true, Cancels: true, MaxComeBack: time.Second, MaxSends: 4,
 		ColdFrom: 0.2, ColdTime: 10 * time.Second, OverloadFactor: 2, OverloadTime: 2 * time.Second}
 	for _, need := range []Need{Write, Write, Fresh, Session, Bounded, Any} {
 		d.OpTypes = append(d.OpTypes, OpType{Effect: Retryable, Need: need, Bound: 200 * ms, Window: time.Second,
@@ -48,7 +48,7 @@
 		change(d)
 	}
 	h := &diary{}
-	g := New(h, d, 7)
+	g := New(h, d)
 	g.List(0, ListCached, []Listed{{ID: 1, State: Ready, Primary: true, Started: LongPast},
 		{ID: 2, State: Ready, Started: LongPast}, {ID: 3, State: Ready, Started: LongPast}})
 	for _, s := range g.ordered {
@@ -68,7 +68,7 @@
 }
 
 func do(g *Gateway, now time.Duration, id uint32, kind uint8) {
-	g.Op(now, id, kind, 0, now+2*time.Second, 0, 0, false)
+	g.Op(now, id, kind, 0, now+2*time.Second, 0, 0)
 }
 
 func TestOrdinaryPath(t *testing.T) {
@@ -82,7 +82,7 @@
 
 func TestSessionReadHeldThenHome(t *testing.T) {
 	g, h := start(nil)
-	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms, false)
+	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms)
 	want(t, h) // no replica is known to have reached 50 ms
 	g.Timer(190*ms, 0)
 	want(t, h)
@@ -92,7 +92,7 @@
 
 func TestPositionFreesHeldRead(t *testing.T) {
 	g, h := start(nil)
-	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms, false)
+	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms)
 	g.Report(120*ms, 3, Replica, 60*ms)
 	want(t, h, "send 1 to 3")
 }
--- a/choice/host.go
+++ b/choice/host.go
@@ -76,30 +76,24 @@
 // Deployment is what a gateway is told of its surroundings at start.
 type Deployment struct {
 	OpTypes           []OpType
-	Gateways          int
-	Zone              uint8
 	Round             time.Duration // the least time between two events
 	ListAsked         bool          // the list comes only when asked for
 	AskWithin         time.Duration // unasked for this long, a gateway is deemed told
 	ListRoles         bool          // the list marks primaries
-	ListRolesStatic   bool          // ... as they were when the day began
 	Checks            Checks
-	CatchUpWait       time.Duration
-	TellsPosition     bool // every answer carries a position
-	MarksCarried      bool // a session read says how old its last write is
-	Probes            bool // probing is allowed
-	Cancels           bool // cancelling is allowed
-	ComeBack          bool // clients receive the time named in a busy reply
-	MaxComeBack       time.Duration
+	TellsPosition     bool          // every answer carries a position
+	MarksCarried      bool          // a session read says how old its last write is
+	Probes            bool          // probing is allowed
+	Cancels           bool          // cancelling is allowed
+	MaxComeBack       time.Duration // the longest wait named in a busy reply that a client honours
 	MaxSends          int
-	ConnectTimeout    time.Duration
 	OnlyDrainingBinds bool
-	DrainGrace        time.Duration
 	ColdFrom          float64       // a server starts at this share of its capacity or more
 	ColdTime          time.Duration // and is warm after this time at the latest
 	OverloadFactor    float64       // sent more than this multiple of present capacity
 	OverloadTime      time.Duration // for this time, a cold server falls over
 	ReportsPosition   bool          // reports carry a position
+	ReportsRole       bool          // reports carry a role
 }
 
 // State is what the list says of a server.
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -205,29 +205,24 @@
 		in.names = s.list("report.names")
 	}
 	d := &choice.Deployment{
-		Gateways:          int(s.num("balancers")),
-		Zone:              uint8(s.num("zone")),
 		Round:             s.span("round"),
 		ListAsked:         v["registry_mode"] == "on_request",
 		AskWithin:         s.span("rules.must_ask_in"),
 		ListRoles:         v["family_info.role_in_list"] == "static" || v["family_info.role_in_list"] == "trailing",
-		ListRolesStatic:   v["family_info.role_in_list"] == "static",
-		CatchUpWait:       s.span("family_info.catch_up_wait"),
 		TellsPosition:     s.flag("family_info.tells_position"),
 		MarksCarried:      v["family_info.write_marks"] == "brought",
 		Probes:            s.flag("limits.probing"),
 		Cancels:           s.flag("limits.may_cancel"),
-		ComeBack:          s.flag("limits.retry_after"),
-		MaxComeBack:       s.span("limits.max_retry_after"),
 		MaxSends:          int(s.num("limits.max_attempts")),
-		ConnectTimeout:    s.span("limits.connect_timeout"),
 		OnlyDrainingBinds: s.flag("rules.only_draining_binds"),
-		DrainGrace:        s.span("rules.drain_grace"),
 		ColdFrom:          s.num("rules.cold_from"),
 		ColdTime:          s.span("rules.cold"),
 		OverloadFactor:    s.num("rules.overload_factor"),
 		OverloadTime:      s.span("rules.fall"),
 	}
+	if s.flag("limits.retry_after") {
+		d.MaxComeBack = s.span("limits.max_retry_after")
+	}
 	switch v["family_info.checks"] {
 	case "bounce":
 		d.Checks = choice.Refuses
@@ -236,6 +231,7 @@
 	}
 	for _, name := range in.names {
 		d.ReportsPosition = d.ReportsPosition || name == "x0"
+		d.ReportsRole = d.ReportsRole || name == "x1"
 	}
 	needs, bounds := s.list("family_info.needs_by_class"), s.list("family_info.lag_allowed")
 	for i := range int(min(s.num("classes.count"), 256)) {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -154,7 +154,7 @@
 		g.ClientGone(now, be.Uint32(b[3:]))
 	case evOp:
 		g.Op(now, be.Uint32(b[3:]), b[7], be.Uint64(b[12:]), in.span(be.Uint64(b[20:])),
-			uint16(float32At(b[36:])), millis(float64(float32At(b[40:]))), b[44]&2 != 0)
+			uint16(float32At(b[36:])), millis(float64(float32At(b[40:]))))
 	case evTimer:
 		g.Timer(now, be.Uint32(b[3:]))
 	case evList:
@@ -209,7 +209,7 @@
 	}
 	x.gateways[who] = in
 	defer in.caught(&err)
-	in.gateway = choice.New(in, d, be.Uint64(b[3:]))
+	in.gateway = choice.New(in, d)
 	return nil
 }
 
