--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,6 +10,7 @@
 // (send); roles and positions; health; the list and the clock.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -28,7 +29,8 @@
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
 	parts        = 8    // parts of the window in which work for a cold server is counted
 	coldCaution  = 0.5  // of the allowance for a cold server that is used: counts stand in for work
-	rememberedAt = 4096 // session marks kept one by one; older ones fold into one floor
+	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
+	never        = time.Duration(1 << 62)
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -99,44 +101,55 @@
 func (t *opType) usual() time.Duration { return t.took.mean(t.target) }
 
 type op struct {
-	id         uint32
-	t          *opType
-	group      *group
-	session    uint64
-	mark       time.Duration // the position that a session read must see
-	targetAt   time.Duration // when its latency target passes, counted from the client's first try
-	due        time.Duration
-	holdUntil  time.Duration
-	worth      float64 // value for each unit of a server's time, while held
-	sends      int
-	at         *server // where a send is out, or nil
-	sentAt     time.Duration
-	mayHaveRun bool
-	maybeAt    time.Duration // when and
-	maybeZone  uint8         // where the first send that may have run went out
-	cancelled  bool          // the send that is out was called back
-	missed     bool          // a replica has turned this read away
-	held, done bool
+	id                uint32
+	t                 *opType
+	group             *group
+	session           uint64
+	mark              time.Duration // the position that a session read must see
+	targetAt          time.Duration // when its latency target passes, counted from the client's first try
+	due, holdUntil    time.Duration
+	worth             float64 // value for each unit of a server's time, while held
+	sends             int
+	at                *server // where a send is out, or nil
+	sentAt            time.Duration
+	mayHaveRun        bool          // a send may have run, the first such one
+	maybeAt           time.Duration // at this time
+	maybeZone         uint8         // in this zone
+	cancelled, missed bool          // the send that is out was called back; a replica turned this read away
+	held, done        bool
+}
+
+// want is the position that a replica must have reached for this op.
+func (o *op) want(now time.Duration) time.Duration {
+	switch o.t.need {
+	case Session:
+		return o.mark
+	case Bounded:
+		return now - o.t.bound
+	case Any:
+		return LongPast
+	}
+	return never
 }
 
 type server struct {
-	id       uint32
-	group    *group
-	zone     uint8
-	weight   float64
-	started  time.Duration
-	state    State
-	role     Role
-	roleAt   time.Duration // how new the newest evidence of the role is
-	pos      time.Duration // the newest position told; it never goes back
-	owed     []*op         // sends out, oldest first
-	heard    time.Duration // its newest sign of life in answer to a send
-	limit    float64       // sends that it may owe
-	learning bool          // no answer has been late yet: the limit grows fast
-	cutAt    time.Duration
-	credit   float64 // in the rotation
-	bad      int     // answers that were errors, and others; both halved now and then
-	good     int
+	id          uint32
+	group       *group
+	zone        uint8
+	weight      float64
+	started     time.Duration
+	state       State
+	role        Role
+	roleAt      time.Duration // how new the newest evidence of the role is
+	pos         time.Duration // the newest position told; it never goes back
+	owed        []*op         // sends out, oldest first
+	heard       time.Duration // its newest sign of life in answer to a send
+	limit       float64       // sends that it may owe
+	learning    bool          // no answer has been slow yet: the limit grows fast
+	cutAt       time.Duration // when the limit last shrank
+	credit      float64       // in the rotation
+	bad, good   int           // answers that were errors, and acks; both halved now and then
+	sent, acked window
 
 	suspect   bool // set aside
 	needs     int  // probes that it must answer before it is used
@@ -144,8 +157,6 @@
 	probeOut  bool
 	nextProbe time.Duration
 	wait      time.Duration // between probes while set aside
-
-	sent, acked window
 }
 
 type group struct {
@@ -160,7 +171,6 @@
 	types   []opType
 	ops     map[uint32]*op
 	servers map[uint32]*server
-	ordered []*server // in id order
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
@@ -178,8 +188,8 @@
 	coldTime, coldPart     time.Duration
 	warmTakes              float64 // most that a warm server acked from here in one window
 
-	marks, oldMarks          map[uint64]time.Duration // by session
-	newest, oldNewest, floor time.Duration            // the newest mark of each, and of all that were dropped
+	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
+	newest, floor time.Duration            // the newest mark kept, and the newest that was dropped
 }
 
 // New makes a gateway's decision module. The host hands over the cached list next.
@@ -192,7 +202,7 @@
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
 		coldPart: max(1, d.OverloadTime/parts),
-		marks:    map[uint64]time.Duration{}, newest: LongPast, oldNewest: LongPast, floor: LongPast,
+		marks:    map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
@@ -246,22 +256,18 @@
 	if m, ok := g.marks[session]; ok {
 		return m
 	}
-	if m, ok := g.oldMarks[session]; ok {
-		return m
-	}
 	return g.floor
 }
 
-// remember keeps the commit position of a session's write. Old marks fold into one floor for all
-// sessions, so memory is bounded and no read sees less than it must.
+// remember keeps the commit position of a session's write. When there are too many, all fold into one
+// floor for every session, so memory is bounded and no read sees less than it must.
 func (g *Gateway) remember(session uint64, pos time.Duration) {
 	if g.carried || pos == LongPast {
 		return
 	}
 	if len(g.marks) >= rememberedAt {
-		g.floor = max(g.floor, g.oldNewest)
-		g.oldMarks, g.oldNewest = g.marks, g.newest
-		g.marks, g.newest = map[uint64]time.Duration{}, LongPast
+		g.floor = g.newest
+		clear(g.marks)
 	}
 	g.marks[session] = max(pos, g.markOf(0, session, 0))
 	g.newest = max(g.newest, pos)
@@ -277,11 +283,8 @@
 	if o == nil || o.at == nil || int(send) != o.sends-1 {
 		return
 	}
-	s = o.at
-	o.at = nil
-	if i := slices.Index(s.owed, o); i >= 0 {
-		s.owed = slices.Delete(s.owed, i, i+1)
-	}
+	s, o.at = o.at, nil
+	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
 	if result == Acked && o.t.need == Write {
 		g.remember(o.session, pos)
 	}
@@ -313,10 +316,16 @@
 // end closes an op. What is still out is called back: queued work may yet be saved.
 func (g *Gateway) end(o *op) {
 	o.done = true
-	g.unhold(o)
+	o.unhold()
 	if o.at == nil {
 		delete(g.ops, o.id)
-	} else if g.cancels && !o.cancelled {
+	} else {
+		g.cancel(o)
+	}
+}
+
+func (g *Gateway) cancel(o *op) {
+	if g.cancels && !o.cancelled {
 		o.cancelled = true
 		g.host.Cancel(o.id, uint8(o.sends-1))
 	}
@@ -325,9 +334,6 @@
 // giveUp ends an op that cannot be served any more, at once. Rule 2: the busy reply, which says that
 // trying again is harmless, only where that is so.
 func (g *Gateway) giveUp(o *op) {
-	if o.done || o.at != nil {
-		return
-	}
 	t := o.t
 	if !o.mayHaveRun || t.effect == Retryable || t.effect == Tokened && t.scope == ScopeAll {
 		g.host.BusyReply(o.id, min(t.target, g.comeBack))
@@ -350,32 +356,27 @@
 	if o.done || o.at != nil {
 		return
 	}
-	if now >= g.lastUseful(o) || !g.maySend(now, o) {
+	if now >= g.lastUseful(o) || !g.maySend(now, o, o.maybeZone) {
 		g.giveUp(o)
 		return
 	}
 	if s := g.choose(now, o); s != nil && g.send(now, o, s) {
-		g.unhold(o)
-		return
-	}
-	if !o.held {
+		o.unhold()
+	} else if !o.held {
 		o.held, o.worth = true, o.t.value/float64(o.t.usual())
 		if now > o.targetAt {
 			o.worth *= o.t.late
 		}
-		i := slices.IndexFunc(o.group.held, func(p *op) bool { return p.worth < o.worth })
-		if i < 0 {
-			i = len(o.group.held)
-		}
-		o.group.held = slices.Insert(o.group.held, i, o)
+		h := o.group.held
+		i, _ := slices.BinarySearchFunc(h, o, func(a, b *op) int { return cmp.Compare(b.worth, a.worth) })
+		o.group.held = slices.Insert(h, i, o)
 	}
 }
 
-func (g *Gateway) unhold(o *op) {
+func (o *op) unhold() {
 	if o.held {
 		o.held = false
-		i := slices.Index(o.group.held, o)
-		o.group.held = slices.Delete(o.group.held, i, i+1)
+		o.group.held = slices.DeleteFunc(o.group.held, func(p *op) bool { return p == o })
 	}
 }
 
@@ -394,34 +395,20 @@
 // replicas that are fresh enough; session and bounded reads wait a little for one, then go home.
 func (g *Gateway) choose(now time.Duration, o *op) *server {
 	home := o.group.home()
-	switch o.t.need {
-	case Write:
-		if home == nil {
-			return g.scout(now, o)
-		}
-		return room(home, 1)
-	case Fresh:
+	switch {
+	case o.t.need == Write && home == nil:
+		return g.scout(now, o)
+	case o.t.need == Write || o.t.need == Fresh:
 		return room(home, 1)
 	}
-	want := LongPast
-	switch o.t.need {
-	case Session:
-		want = o.mark
-	case Bounded:
-		want = now - o.t.bound
-	}
-	if s := g.rotate(now, o.group, want); s != nil {
-		return s
-	}
-	if g.checked && !o.missed {
-		if s := g.mostAdvanced(o.group); s != nil {
-			return s
-		}
+	s := g.rotate(now, o.group, o.want(now))
+	if s == nil && g.checked && !o.missed {
+		s = mostAdvanced(o.group)
 	}
-	if now < o.holdUntil {
-		return nil
+	if s == nil && now >= o.holdUntil {
+		s = room(home, homeShare)
 	}
-	return room(home, homeShare)
+	return s
 }
 
 // home is the primary, if one is known that takes work.
@@ -437,6 +424,11 @@
 	return s.state == Ready && !s.suspect && !(s.trial && len(s.owed) > 0)
 }
 
+// reads tells whether a member may take a read as a replica now.
+func (gr *group) reads(s *server) bool {
+	return s != gr.primary && s.usable() && s.needs == 0 && room(s, 1) != nil
+}
+
 // room returns the server if it owes less than a share of what it takes.
 func room(s *server, share float64) *server {
 	if s == nil || float64(len(s.owed)) >= s.limit*share {
@@ -452,8 +444,7 @@
 		var best *server
 		total := 0.0
 		for _, s := range gr.members {
-			if s == gr.primary || !s.usable() || s.needs > 0 || s.pos < want || room(s, 1) == nil ||
-				!overdueToo && s.overdue(now) {
+			if !gr.reads(s) || s.pos < want || !overdueToo && s.overdue(now) {
 				continue
 			}
 			w := s.weight * g.ramp(now, s)
@@ -472,9 +463,9 @@
 }
 
 // mostAdvanced is the replica to try where replicas check reads themselves.
-func (g *Gateway) mostAdvanced(gr *group) (best *server) {
+func mostAdvanced(gr *group) (best *server) {
 	for _, s := range gr.members {
-		if s != gr.primary && s.usable() && s.needs == 0 && room(s, 1) != nil && (best == nil || s.pos > best.pos) {
+		if gr.reads(s) && (best == nil || s.pos > best.pos) {
 			best = s
 		}
 	}
@@ -495,31 +486,22 @@
 	return nil
 }
 
-// maySend tells whether any further send of this op can be allowed (rule 2 and the cap on sends).
-func (g *Gateway) maySend(now time.Duration, o *op) bool {
-	switch {
-	case o.sends >= g.maxSends:
-		return false
-	case !o.mayHaveRun || o.t.effect == Retryable:
-		return true
-	case o.t.effect == Tokened:
-		return now-o.maybeAt < o.t.window-2*g.tick
+// maySend is rule 2: whether a further send of this op can be allowed, and where.
+func (g *Gateway) maySend(now time.Duration, o *op, zone uint8) bool {
+	if o.sends >= g.maxSends || !o.mayHaveRun || o.t.effect == Retryable {
+		return o.sends < g.maxSends
 	}
-	return false
+	return o.t.effect == Tokened && now-o.maybeAt < o.t.window-2*g.tick &&
+		(o.t.scope != ScopeZone || zone == o.maybeZone)
 }
 
 // send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
 func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
-	switch {
-	case o.done || o.at != nil || !g.maySend(now, o): // rules 1 and 2
-		return false
-	case o.mayHaveRun && o.t.effect == Tokened && o.t.scope == ScopeZone && s.zone != o.maybeZone: // rule 2
-		return false
-	case s.state != Ready || s.group != o.group: // rule 3, with no use of the grace
-		return false
-	case !g.fresh(now, o, s): // rule 5
-		return false
-	case !g.coldTakes(now, s): // rule 4
+	// Rule 5: the server is the primary, is known to have what is needed, or checks for itself.
+	fresh := s == s.group.primary || o.t.need == Write || g.checked || s.pos >= o.want(now)
+	if o.done || o.at != nil || !g.maySend(now, o, s.zone) || // rules 1 and 2
+		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
+		!fresh || !g.coldTakes(now, s) { // rules 5 and 4
 		return false
 	}
 	o.at, o.sentAt, o.cancelled = s, now, false
@@ -533,22 +515,6 @@
 	return true
 }
 
-// fresh is rule 5: what a server has is known to be new enough, it is the primary, or it checks itself.
-func (g *Gateway) fresh(now time.Duration, o *op, s *server) bool {
-	if s == s.group.primary || g.checked {
-		return true
-	}
-	switch o.t.need {
-	case Fresh:
-		return false
-	case Session:
-		return s.pos >= o.mark
-	case Bounded:
-		return s.pos >= now-o.t.bound
-	}
-	return true
-}
-
 // ramp is the least share of its capacity that a server can have by now.
 func (g *Gateway) ramp(now time.Duration, s *server) float64 {
 	age := now - s.started
@@ -608,33 +574,29 @@
 
 // judge draws from one result what it says of a server's health and of how much it takes.
 func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
-	t := o.t
 	switch result {
 	case Acked:
 		s.heard, s.trial, s.wait = now, false, 0
 		s.good++
-		t.took.add(took, t.target)
+		o.t.took.add(took, o.t.target)
 		part := int64(now / g.coldPart)
 		if n := s.acked.sum(part) + 1; g.ramp(now, s) >= 1 {
 			g.warmTakes = max(g.warmTakes, n)
 		}
 		s.acked.counts[part%parts]++
-		if took > t.target/fullShare {
-			if s.learning = false; now-s.cutAt > took {
-				s.limit, s.cutAt = max(s.limit*cut, 2), now
-			}
-		} else if float64(len(s.owed)+1) >= s.limit*0.75 {
-			if s.learning {
-				s.limit++
-			} else {
-				s.limit += 1 / s.limit
-			}
+		switch owes := float64(len(s.owed) + 1); {
+		case took > o.t.target/fullShare && now-s.cutAt > took:
+			s.learning, s.limit, s.cutAt = false, max(s.limit*cut, 2), now
+		case took > o.t.target/fullShare || owes < s.limit*0.75:
+		case s.learning:
+			s.limit++
+		default:
+			s.limit += 1 / s.limit
 		}
 	case Miss:
 		s.heard = now
 	case ServerFull:
-		s.heard = now
-		s.learning, s.limit = false, max(2, min(s.limit, float64(len(s.owed)))*cut)
+		s.heard, s.learning, s.limit = now, false, max(2, min(s.limit, float64(len(s.owed)))*cut)
 	case ServerError:
 		s.heard = now
 		// A primary that fails some ops is still the only one for writes.
@@ -664,22 +626,15 @@
 // stay out: only this server could say how they ended.
 func (g *Gateway) callBack(now time.Duration, s *server) {
 	for _, o := range s.owed {
-		if g.cancels && !o.cancelled && !o.done && o.t.effect == Retryable && o.sends < g.maxSends &&
-			now < g.lastUseful(o) {
-			o.cancelled = true
-			g.host.Cancel(o.id, uint8(o.sends-1))
+		if s != s.group.primary && o.t.effect == Retryable && o.sends < g.maxSends && now < g.lastUseful(o) {
+			g.cancel(o)
 		}
 	}
 }
 
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
-	for _, o := range s.owed {
-		if now-o.sentAt > overdueAfter*o.t.usual() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.sentAt > overdueAfter*o.t.usual() })
 }
 
 // silent tells whether a server that owes answers has been quiet for longer than chance explains:
@@ -707,11 +662,9 @@
 		}
 		return
 	}
-	if s.needs--; s.needs <= 0 {
-		if s.needs = 0; s.suspect {
-			s.suspect, s.bad, s.good = false, 0, 0
-			s.trial = s.heard < s.cutAt // nothing heard since it was set aside
-		}
+	if s.needs = max(0, s.needs-1); s.needs == 0 && s.suspect {
+		s.suspect, s.bad, s.good = false, 0, 0
+		s.trial = s.heard < s.cutAt // nothing heard since it was set aside
 	}
 	g.wake(now, s.group)
 }
@@ -727,9 +680,11 @@
 		g.askWait, g.askAt = g.askMin, 0
 	}
 	if scope != ListChanges {
-		for _, s := range g.ordered {
-			if !slices.ContainsFunc(listed, func(l Listed) bool { return l.ID == s.id }) {
-				g.line(now, &Listed{ID: s.id, Zone: s.zone, Started: s.started})
+		for _, gr := range g.listed {
+			for _, s := range gr.members {
+				if !slices.ContainsFunc(listed, func(l Listed) bool { return l.ID == s.id }) {
+					g.line(now, &Listed{ID: s.id, Zone: s.zone, Started: s.started})
+				}
 			}
 		}
 	}
@@ -747,11 +702,8 @@
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
 			limit: startLimit, learning: true, needs: 1, cutAt: LongPast, heard: LongPast}
 		g.servers[l.ID] = s
-		byID := func(a, b *server) int { return int(int64(a.id) - int64(b.id)) }
-		i, _ := slices.BinarySearchFunc(g.ordered, s, byID)
-		g.ordered = slices.Insert(g.ordered, i, s)
-		i, _ = slices.BinarySearchFunc(s.group.members, s, byID)
-		s.group.members = slices.Insert(s.group.members, i, s)
+		s.group.members = append(s.group.members, s)
+		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
 	if s.started != l.Started { // it has started again: what was known of it holds no more
 		s.started, s.needs, s.limit, s.learning = l.Started, 1, startLimit, true
@@ -790,21 +742,24 @@
 		g.askAt = now + g.askMax
 		g.host.WatchList()
 	}
-	for _, s := range g.ordered {
-		if s.silent(now) {
-			g.setAside(now, s)
-			if s != s.group.primary {
+	for _, gr := range g.listed {
+		for _, s := range gr.members {
+			if s.silent(now) {
+				g.setAside(now, s)
 				g.callBack(now, s)
 			}
+			g.probe(now, s)
 		}
-		if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
-			g.roles && len(s.group.held) > 0 && s.group.home() == nil) {
-			s.probeOut = true
-			s.nextProbe = now + max(g.steady, s.wait, g.brief)
-			g.host.Probe(s.id)
-		}
-	}
-	for _, gr := range g.listed {
 		g.wake(now, gr)
 	}
 }
+
+// probe asks a server that is to be trusted (again), or for its position or role where nothing else tells.
+func (g *Gateway) probe(now time.Duration, s *server) {
+	if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
+		g.roles && len(s.group.held) > 0 && s.group.home() == nil) {
+		s.probeOut = true
+		s.nextProbe = now + max(g.steady, s.wait, g.brief)
+		g.host.Probe(s.id)
+	}
+}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -51,7 +51,7 @@
 	g := New(h, d)
 	g.List(0, ListCached, []Listed{{ID: 1, State: Ready, Primary: true, Started: LongPast},
 		{ID: 2, State: Ready, Started: LongPast}, {ID: 3, State: Ready, Started: LongPast}})
-	for _, s := range g.ordered {
+	for _, s := range g.servers {
 		s.needs, s.pos = 0, 0
 	}
 	h.lines = nil
