--- a/choice/choice.go
+++ b/choice/choice.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -28,7 +29,7 @@
 	answered     = 2    // probes that bring a server back that was set aside
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
 	parts        = 8    // parts of the window in which work for a cold server is counted
-	coldCaution  = 0.5  // of the allowance for a cold server that is used: counts stand in for work
+	coldCaution  = 0.35 // of the allowance for a cold server that is used: counts stand in for work
 	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
 	never        = time.Duration(1 << 62)
 )
@@ -93,7 +94,8 @@
 	target, hold  time.Duration
 	timeout       time.Duration
 	value, late   float64   // late: the share of the value that is left past the latency target
-	tryShare      float64   // the longest time that clients give a try, as a share of the op timeout
+	tryShare      float64   // the share of the op timeout that most tries are given
+	votes         int       // how often that was seen, less other shares
 	took          histogram // answer times as parts of the latency target
 }
 
@@ -232,10 +234,15 @@
 	t := &g.types[kind]
 	o := &op{id: id, t: t, group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: LongPast, holdUntil: now + t.hold}
-	// A try that is given less time than others has been cut short by the op timeout, which counts from
-	// the client's first try. So its start is known, and with it what an answer can still earn.
-	share := float64(due-now) / float64(max(t.timeout, 1))
-	if t.tryShare = max(t.tryShare, share); share < 0.98*t.tryShare {
+	// Clients give most tries the same part of the op timeout. One that gets another part has what its
+	// client has left since its first try; so that start is known, and what an answer can still earn.
+	switch share := float64(due-now) / float64(max(t.timeout, 1)); {
+	case math.Abs(share-t.tryShare) < 0.02:
+		t.votes = min(t.votes+1, fullTurn)
+	case t.votes == 0:
+		t.tryShare, t.votes = share, 1
+	default:
+		t.votes--
 		o.targetAt = due - t.timeout + t.target
 	}
 	if t.need == Session {
