--- a/choice/choice.go
+++ b/choice/choice.go
@@ -147,7 +147,6 @@
 	owed        []*op         // sends out, oldest first
 	heard       time.Duration // its newest sign of life in answer to a send
 	limit       float64       // sends that it may owe
-	learning    bool          // no answer has been slow yet: the limit grows fast
 	cutAt       time.Duration // when the limit last shrank
 	credit      float64       // in the rotation
 	bad, good   int           // answers that were errors, and acks; both halved now and then
@@ -593,17 +592,15 @@
 		s.acked.counts[part%parts]++
 		switch owes := float64(len(s.owed) + 1); {
 		case took > o.t.target/fullShare && now-s.cutAt > took:
-			s.learning, s.limit, s.cutAt = false, max(s.limit*cut, 2), now
+			s.limit, s.cutAt = max(s.limit*cut, 2), now
 		case took > o.t.target/fullShare || owes < s.limit*0.75:
-		case s.learning:
-			s.limit++
 		default:
 			s.limit += 1 / s.limit
 		}
 	case Miss:
 		s.heard = now
 	case ServerFull:
-		s.heard, s.learning, s.limit = now, false, max(2, min(s.limit, float64(len(s.owed)))*cut)
+		s.heard, s.limit = now, max(2, min(s.limit, float64(len(s.owed)))*cut)
 	case ServerError:
 		s.heard = now
 		// A primary that fails some ops is still the only one for writes.
@@ -707,13 +704,13 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: startLimit, learning: true, needs: 1, cutAt: LongPast, heard: LongPast}
+			limit: startLimit, needs: 1, cutAt: LongPast, heard: LongPast}
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
 	if s.started != l.Started { // it has started again: what was known of it holds no more
-		s.started, s.needs, s.limit, s.learning = l.Started, 1, startLimit, true
+		s.started, s.needs, s.limit = l.Started, 1, startLimit
 	}
 	if l.State == Gone && g.goneMayRun && s.state == Ready {
 		g.setAside(now, s)
