--- a/choice/choice.go
+++ b/choice/choice.go
@@ -151,13 +151,9 @@
 	credit      float64       // in the rotation
 	bad, good   int           // answers that were errors, and acks; both halved now and then
 	sent, acked window
-
-	suspect   bool // set aside
-	needs     int  // probes that it must answer before it is used
-	trial     bool // back, but one send at a time until one is acked
-	probeOut  bool
-	nextProbe time.Duration
-	wait      time.Duration // between probes while set aside
+	needs       int           // probes that it must answer before it is used, at first or after being set aside
+	nextProbe   time.Duration // never while one is out
+	wait        time.Duration // between probes while set aside
 }
 
 type group struct {
@@ -179,7 +175,7 @@
 	checked, carried       bool          // replicas check reads; a session read tells its mark
 	probes, cancels, roles bool          // allowed; allowed; reports tell roles
 	listRoles, goneMayRun  bool          // the list tells roles; its word that a server is gone proves nothing
-	maxSends               int
+	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
 	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
 
@@ -214,6 +210,9 @@
 			g.steady = t.Bound / 2
 		}
 	}
+	if d.Probes {
+		g.firstNeeds = 1
+	}
 	if d.ListAsked {
 		g.askMin, g.askMax = d.AskWithin/32, d.AskWithin/4
 		g.askWait, g.askAt = g.askMin, g.askMax
@@ -294,7 +293,8 @@
 	if result == Acked && o.t.need == Write {
 		g.remember(o.session, pos)
 	}
-	if !neverRan(result) && !o.mayHaveRun {
+	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
+	if !neverRan && !o.mayHaveRun {
 		o.mayHaveRun, o.maybeAt, o.maybeZone = true, o.sentAt, s.zone
 	}
 	g.judge(now, s, o, result, took)
@@ -307,11 +307,6 @@
 	g.wake(now, s.group)
 }
 
-// neverRan tells which results prove that a send did not run.
-func neverRan(r Result) bool {
-	return r == ServerFull || r == NoConnection || r == NotSent || r == Miss
-}
-
 // ClientGone is called when a client has left; no answer is owed any more.
 func (g *Gateway) ClientGone(now time.Duration, id uint32) {
 	if o := g.ops[id]; o != nil {
@@ -427,12 +422,12 @@
 
 // usable tells whether a server may be considered at all.
 func (s *server) usable() bool {
-	return s.state == Ready && !s.suspect && !(s.trial && len(s.owed) > 0)
+	return s.state == Ready && s.needs == 0
 }
 
 // reads tells whether a member may take a read as a replica now.
 func (gr *group) reads(s *server) bool {
-	return s != gr.primary && s.usable() && s.needs == 0 && room(s, 1) != nil
+	return s != gr.primary && s.usable() && room(s, 1) != nil
 }
 
 // room returns the server if it owes less than a share of what it takes.
@@ -562,7 +557,6 @@
 	}
 	if role == Replica && gr.primary == s {
 		gr.primary = nil
-		g.host.Log("primary lost")
 	}
 }
 
@@ -582,7 +576,7 @@
 func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
 	switch result {
 	case Acked:
-		s.heard, s.trial, s.wait = now, false, 0
+		s.heard, s.wait = now, 0
 		s.good++
 		o.t.took.add(took, o.t.target)
 		part := int64(now / g.coldPart)
@@ -604,7 +598,7 @@
 	case ServerError:
 		s.heard = now
 		// A primary that fails some ops is still the only one for writes.
-		if s.bad++; s != s.group.primary && (s.trial || s.bad > 2 && s.bad > s.good) {
+		if s.bad++; s != s.group.primary && (s.limit < 2 || s.bad > 2 && s.bad > s.good) {
 			g.setAside(now, s)
 		}
 	case NoConnection, Reset:
@@ -617,10 +611,10 @@
 
 // setAside takes a server out of use until it has answered probes; each failed return doubles the wait.
 func (g *Gateway) setAside(now time.Duration, s *server) {
-	if s.suspect || !g.probes {
+	if s.needs > 0 || !g.probes {
 		return
 	}
-	s.suspect, s.trial, s.needs, s.cutAt = true, false, answered, now
+	s.needs, s.cutAt = answered, now
 	s.wait = min(max(2*s.wait, g.brief/4), 32*g.brief)
 	s.nextProbe = now + s.wait
 	g.host.Log("server set aside")
@@ -658,19 +652,20 @@
 	if s == nil {
 		return
 	}
-	s.probeOut = false
-	if result != Acked {
-		if result == NoConnection || result == Reset || result == TimedOut {
-			g.setAside(now, s)
-			s.needs = answered
+	s.nextProbe = now + max(g.steady, s.wait, g.brief)
+	switch {
+	case result == NoConnection || result == Reset || result == TimedOut:
+		g.setAside(now, s)
+		s.needs = answered
+	case result == Acked && s.needs > 0:
+		// If it has answered no op since it was set aside, it gets one send at a time until one is acked.
+		if s.needs--; s.needs == 0 && s.wait > 0 {
+			if s.bad, s.good = 0, 0; s.heard < s.cutAt {
+				s.limit = 1
+			}
 		}
-		return
-	}
-	if s.needs = max(0, s.needs-1); s.needs == 0 && s.suspect {
-		s.suspect, s.bad, s.good = false, 0, 0
-		s.trial = s.heard < s.cutAt // nothing heard since it was set aside
+		g.wake(now, s.group)
 	}
-	g.wake(now, s.group)
 }
 
 // List is called with the server list as the host last held it, in full, or with changes to it.
@@ -704,13 +699,13 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: startLimit, needs: 1, cutAt: LongPast, heard: LongPast}
+			limit: startLimit, needs: g.firstNeeds, cutAt: LongPast, heard: LongPast}
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
 	if s.started != l.Started { // it has started again: what was known of it holds no more
-		s.started, s.needs, s.limit = l.Started, 1, startLimit
+		s.started, s.needs, s.limit = l.Started, g.firstNeeds, startLimit
 	}
 	if l.State == Gone && g.goneMayRun && s.state == Ready {
 		g.setAside(now, s)
@@ -760,10 +755,9 @@
 
 // probe asks a server that is to be trusted (again), or for its position or role where nothing else tells.
 func (g *Gateway) probe(now time.Duration, s *server) {
-	if g.probes && s.state == Ready && !s.probeOut && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
+	if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
 		g.roles && len(s.group.held) > 0 && s.group.home() == nil) {
-		s.probeOut = true
-		s.nextProbe = now + max(g.steady, s.wait, g.brief)
+		s.nextProbe = never
 		g.host.Probe(s.id)
 	}
 }
