--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,7 +70,7 @@
 
 // window counts events over the stated overload window, in parts.
 type window struct {
-	counts [parts]uint16
+	counts [parts]int32
 	newest int64
 }
 
@@ -135,25 +135,25 @@
 }
 
 type server struct {
-	id          uint32
-	group       *group
-	zone        uint8
-	weight      float64
-	started     time.Duration
-	state       State
-	role        Role
-	roleAt      time.Duration // how new the newest evidence of the role is
-	pos         time.Duration // the newest position told; it never goes back
-	owed        []*op         // sends out, oldest first
-	heard       time.Duration // its newest sign of life in answer to a send
-	limit       float64       // sends that it may owe
-	cutAt       time.Duration // when the limit last shrank
-	credit      float64       // in the rotation
-	bad, good   int           // answers that were errors, and acks; both halved now and then
-	sent, acked window
-	needs       int           // probes that it must answer before it is used, at first or after being set aside
-	nextProbe   time.Duration // never while one is out
-	wait        time.Duration // between probes while set aside
+	id        uint32
+	group     *group
+	zone      uint8
+	weight    float64
+	started   time.Duration
+	state     State
+	role      Role
+	roleAt    time.Duration // how new the newest evidence of the role is
+	pos       time.Duration // the newest position told; it never goes back
+	owed      []*op         // sends out, oldest first
+	heard     time.Duration // its newest sign of life in answer to a send
+	limit     float64       // sends that it may owe
+	cutAt     time.Duration // when the limit last shrank
+	credit    float64       // in the rotation
+	bad, good int           // answers that were errors, and acks; both halved now and then
+	sent      window
+	needs     int           // probes that it must answer before it is used, at first or after being set aside
+	nextProbe time.Duration // never while one is out
+	wait      time.Duration // between probes while set aside
 }
 
 type group struct {
@@ -170,6 +170,7 @@
 	servers map[uint32]*server
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
+	waking  []*op    // reused
 
 	tick, brief            time.Duration // between looks at the clock; the design's brief wait
 	checked, carried       bool          // replicas check reads; a session read tells its mark
@@ -183,7 +184,7 @@
 
 	coldFrom, coldMultiple float64
 	coldTime, coldPart     time.Duration
-	warmTakes              float64 // most that a warm server acked from here in one window
+	warmTakes              float64 // most that a warm server took from here in one window
 
 	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
 	newest, floor time.Duration            // the newest mark kept, and the newest that was dropped
@@ -297,6 +298,9 @@
 	if !neverRan && !o.mayHaveRun {
 		o.mayHaveRun, o.maybeAt, o.maybeZone = true, o.sentAt, s.zone
 	}
+	if neverRan && g.ramp(now, s) >= 1 {
+		s.sent.counts[s.sent.newest%parts]-- // what a warm server turned away does not show what it takes
+	}
 	g.judge(now, s, o, result, took)
 	if final || o.done || result == Acked {
 		delete(g.ops, id)
@@ -383,12 +387,9 @@
 
 // wake tries the held ops of a group again.
 func (g *Gateway) wake(now time.Duration, gr *group) {
-	for i := 0; i < len(gr.held); {
-		o := gr.held[i]
+	g.waking = append(g.waking[:0], gr.held...)
+	for _, o := range g.waking {
 		g.place(now, o)
-		if i < len(gr.held) && gr.held[i] == o {
-			i++
-		}
 	}
 }
 
@@ -530,7 +531,9 @@
 func (g *Gateway) coldTakes(now time.Duration, s *server) bool {
 	part := int64(now / g.coldPart)
 	sum, r := s.sent.sum(part), g.ramp(now-g.coldPart*parts, s)
-	if r < 1 && sum >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
+	if r >= 1 {
+		g.warmTakes = max(g.warmTakes, sum)
+	} else if sum >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
 		return false
 	}
 	s.sent.counts[part%parts]++
@@ -549,9 +552,6 @@
 	gr := s.group
 	s.role, s.roleAt = role, at
 	if role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt) {
-		if gr.primary != nil {
-			gr.primary.role = RoleUnknown
-		}
 		gr.primary = s
 		g.host.Log("primary found")
 	}
@@ -579,11 +579,6 @@
 		s.heard, s.wait = now, 0
 		s.good++
 		o.t.took.add(took, o.t.target)
-		part := int64(now / g.coldPart)
-		if n := s.acked.sum(part) + 1; g.ramp(now, s) >= 1 {
-			g.warmTakes = max(g.warmTakes, n)
-		}
-		s.acked.counts[part%parts]++
 		switch owes := float64(len(s.owed) + 1); {
 		case took > o.t.target/fullShare && now-s.cutAt > took:
 			s.limit, s.cutAt = max(s.limit*cut, 2), now
@@ -716,7 +711,7 @@
 		s.weight = 1
 	}
 	if s.state != Ready && s.group.primary == s {
-		s.group.primary, s.role = nil, RoleUnknown
+		s.group.primary = nil
 	}
 	// The list is late: its word on roles counts only where the server has not spoken itself.
 	if g.listRoles && l.Primary && s.roleAt == LongPast {
