--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,12 +6,12 @@
 // with the span since the gateway's start. Inside them the Gateway acts by calling its Host; that
 // interface and the plain types handed over at start are in host.go.
 //
-// Reading order: what is kept; events; routing (place, choose); the gate that every send passes
-// (send); roles and positions; health; the list and the clock.
+// Reading order: what is kept, events, routing, the gate for sends, roles, health, list and clock.
 
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -31,7 +31,6 @@
 	parts        = 8    // parts of the window in which work for a cold server is counted
 	coldCaution  = 0.35 // of the allowance for a cold server that is used: counts stand in for work
 	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
-	never        = time.Duration(1 << 62)
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -41,11 +40,7 @@
 }
 
 func (h *histogram) add(took, unit time.Duration) {
-	i, edge := 0, unit/32
-	for ; i < len(h.bins)-1 && took > edge; i++ {
-		edge *= 2
-	}
-	h.bins[i]++
+	h.bins[min(len(h.bins)-1, bits.Len64(uint64(32*took/max(unit, 1))))]++
 	if h.total++; h.total >= fullTurn {
 		h.total = 0
 		for i := range h.bins {
@@ -112,11 +107,11 @@
 	due, holdUntil    time.Duration
 	worth             float64 // value for each unit of a server's time, while held
 	sends             int
-	at                *server // where a send is out, or nil
-	sentAt            time.Duration
-	mayHaveRun        bool          // a send may have run, the first such one
-	maybeAt           time.Duration // at this time
-	maybeZone         uint8         // in this zone
+	at                *server       // where a send is out, or nil
+	sentAt            time.Duration // when the newest send went out
+	mayHaveRun        bool          // a send may have run: the first such one
+	maybeAt           time.Duration // went out at this time
+	maybeZone         uint8         // to this zone
 	cancelled, missed bool          // the send that is out was called back; a replica turned this read away
 	held, done        bool
 }
@@ -131,7 +126,7 @@
 	case Any:
 		return LongPast
 	}
-	return never
+	return math.MaxInt64
 }
 
 type server struct {
@@ -175,7 +170,7 @@
 	tick, brief            time.Duration // between looks at the clock; the design's brief wait
 	checked, carried       bool          // replicas check reads; a session read tells its mark
 	probes, cancels, roles bool          // allowed; allowed; reports tell roles
-	listRoles, goneMayRun  bool          // the list tells roles; its word that a server is gone proves nothing
+	goneMayRun             bool          // the list's word that a server is gone proves nothing
 	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
 	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
@@ -196,7 +191,7 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		roles: d.ReportsRole, listRoles: d.ListRoles, goneMayRun: d.OnlyDrainingBinds,
+		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
 		coldPart: max(1, d.OverloadTime/parts),
@@ -226,10 +221,6 @@
 // Op is called when a client's op comes in. wroteAgo is 0 where the session's last write is not told.
 func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
 	inGroup uint16, wroteAgo time.Duration) {
-	if int(kind) >= len(g.types) {
-		g.host.Error(id)
-		return
-	}
 	t := &g.types[kind]
 	o := &op{id: id, t: t, group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: LongPast, holdUntil: now + t.hold}
@@ -284,7 +275,7 @@
 	took time.Duration, final bool, role Role, pos time.Duration) {
 	s, o := g.servers[at], g.ops[id]
 	if s != nil {
-		g.told(now, s, role, pos, now)
+		g.told(s, role, pos, now)
 	}
 	if o == nil || o.at == nil || int(send) != o.sends-1 {
 		return
@@ -324,13 +315,12 @@
 	o.unhold()
 	if o.at == nil {
 		delete(g.ops, o.id)
-	} else {
-		g.cancel(o)
 	}
+	g.cancel(o)
 }
 
 func (g *Gateway) cancel(o *op) {
-	if g.cancels && !o.cancelled {
+	if g.cancels && !o.cancelled && o.at != nil {
 		o.cancelled = true
 		g.host.Cancel(o.id, uint8(o.sends-1))
 	}
@@ -339,8 +329,7 @@
 // giveUp ends an op that cannot be served any more, at once. Rule 2: the busy reply, which says that
 // trying again is harmless, only where that is so.
 func (g *Gateway) giveUp(o *op) {
-	t := o.t
-	if !o.mayHaveRun || t.effect == Retryable || t.effect == Tokened && t.scope == ScopeAll {
+	if t := o.t; !o.mayHaveRun || t.effect == Retryable || t.effect == Tokened && t.scope == ScopeAll {
 		g.host.BusyReply(o.id, min(t.target, g.comeBack))
 	} else {
 		g.host.Error(o.id)
@@ -477,11 +466,10 @@
 // scout finds a member to try a write on while the primary is unknown: in id order, each that has not
 // just said that it is none. After one round of misses a brief wait passes before the next.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
-	if o.sends >= g.maxSends-1 {
-		return nil // the last send is kept for the primary once it is known
-	}
 	for _, s := range o.group.members {
-		if s.usable() && !s.overdue(now) && (s.role != Replica || now-s.roleAt > g.brief) {
+		// The last send that an op has is kept for the primary once it is known.
+		if o.sends < g.maxSends-1 && s.usable() && !s.overdue(now) &&
+			(s.role != Replica || now-s.roleAt > g.brief) {
 			return room(s, 1)
 		}
 	}
@@ -520,7 +508,7 @@
 // ramp is the least share of its capacity that a server can have by now.
 func (g *Gateway) ramp(now time.Duration, s *server) float64 {
 	age := now - s.started
-	if s.started == LongPast || age >= g.coldTime {
+	if age >= g.coldTime {
 		return 1
 	}
 	return g.coldFrom + (1-g.coldFrom)*max(0, float64(age)/float64(g.coldTime))
@@ -541,7 +529,7 @@
 }
 
 // told takes in what a server says of itself: role and position, the evidence being as old as at.
-func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
+func (g *Gateway) told(s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
 	if role == Primary && pos != LongPast {
 		at = pos // a primary stands at the present, so its position dates the claim
@@ -567,8 +555,7 @@
 		if pos == LongPast {
 			at = now
 		}
-		g.told(now, s, role, pos, at)
-		g.wake(now, s.group)
+		g.told(s, role, pos, at)
 	}
 }
 
@@ -659,7 +646,6 @@
 				s.limit = 1
 			}
 		}
-		g.wake(now, s.group)
 	}
 }
 
@@ -685,9 +671,6 @@
 	for i := range listed {
 		g.line(now, &listed[i])
 	}
-	for _, gr := range g.listed {
-		g.wake(now, gr)
-	}
 }
 
 func (g *Gateway) line(now time.Duration, l *Listed) {
@@ -706,16 +689,13 @@
 		g.setAside(now, s)
 		return
 	}
-	s.zone, s.state, s.weight = l.Zone, l.State, float64(l.Weight)
-	if s.weight <= 0 {
-		s.weight = 1
-	}
+	s.zone, s.state, s.weight = l.Zone, l.State, cmp.Or(float64(l.Weight), 1)
 	if s.state != Ready && s.group.primary == s {
 		s.group.primary = nil
 	}
 	// The list is late: its word on roles counts only where the server has not spoken itself.
-	if g.listRoles && l.Primary && s.roleAt == LongPast {
-		g.told(now, s, Primary, LongPast, LongPast)
+	if l.Primary && s.roleAt == LongPast {
+		g.told(s, Primary, LongPast, LongPast)
 	}
 }
 
@@ -752,7 +732,7 @@
 func (g *Gateway) probe(now time.Duration, s *server) {
 	if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
 		g.roles && len(s.group.held) > 0 && s.group.home() == nil) {
-		s.nextProbe = never
+		s.nextProbe = math.MaxInt64
 		g.host.Probe(s.id)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -36,7 +36,7 @@
 
 // start makes a gateway with one group: primary 1, replicas 2 and 3, warm, trusted, at position 0.
 func start(change func(*Deployment)) (*Gateway, *diary) {
-	d := &Deployment{Round: 5 * ms, ListRoles: true, TellsPosition: true, MarksCarried: true,
+	d := &Deployment{Round: 5 * ms, TellsPosition: true, MarksCarried: true,
 		Probes: true, Cancels: true, MaxComeBack: time.Second, MaxSends: 4,
 		ColdFrom: 0.2, ColdTime: 10 * time.Second, OverloadFactor: 2, OverloadTime: 2 * time.Second}
 	for _, need := range []Need{Write, Write, Fresh, Session, Bounded, Any} {
@@ -94,6 +94,7 @@
 	g, h := start(nil)
 	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms)
 	g.Report(120*ms, 3, Replica, 60*ms)
+	g.Timer(120*ms, 0)
 	want(t, h, "send 1 to 3")
 }
 
@@ -121,7 +122,8 @@
 }
 
 func TestUnknownPrimaryIsScoutedInIDOrder(t *testing.T) {
-	g, h := start(func(d *Deployment) { d.ListRoles = false })
+	g, h := start(nil)
+	g.group(0).primary = nil
 	do(g, 100*ms, 1, writeOnce)
 	g.Answer(101*ms, 1, 0, 1, Miss, ms, false, Replica, 0)
 	g.Answer(102*ms, 1, 1, 2, Miss, ms, false, Replica, 0)
--- a/choice/host.go
+++ b/choice/host.go
@@ -79,7 +79,6 @@
 	Round             time.Duration // the least time between two events
 	ListAsked         bool          // the list comes only when asked for
 	AskWithin         time.Duration // unasked for this long, a gateway is deemed told
-	ListRoles         bool          // the list marks primaries
 	Checks            Checks
 	TellsPosition     bool          // every answer carries a position
 	MarksCarried      bool          // a session read says how old its last write is
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -16,6 +16,7 @@
 	who     uint16
 	base    uint64        // the clock at its start
 	zero    time.Duration // where positions count from
+	types   int           // how many op types there are
 	names   []string      // of the load report's values
 	gateway *choice.Gateway
 }
@@ -208,7 +209,6 @@
 		Round:             s.span("round"),
 		ListAsked:         v["registry_mode"] == "on_request",
 		AskWithin:         s.span("rules.must_ask_in"),
-		ListRoles:         v["family_info.role_in_list"] == "static" || v["family_info.role_in_list"] == "trailing",
 		TellsPosition:     s.flag("family_info.tells_position"),
 		MarksCarried:      v["family_info.write_marks"] == "brought",
 		Probes:            s.flag("limits.probing"),
@@ -268,5 +268,6 @@
 		}
 		d.OpTypes = append(d.OpTypes, t)
 	}
+	in.types = len(d.OpTypes)
 	return d, s.err
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -153,6 +153,9 @@
 	case evClientGone:
 		g.ClientGone(now, be.Uint32(b[3:]))
 	case evOp:
+		if int(b[7]) >= in.types {
+			return fmt.Errorf("op type %d of %d", b[7], in.types)
+		}
 		g.Op(now, be.Uint32(b[3:]), b[7], be.Uint64(b[12:]), in.span(be.Uint64(b[20:])),
 			uint16(float32At(b[36:])), millis(float64(float32At(b[40:]))))
 	case evTimer:
