Send reads that any data will do for first to replicas that are far behind

Cause sought: long reads stop a replica from applying, and rotating them over all replicas made all of them stale.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -172,6 +172,7 @@
 	probes, cancels, roles bool          // allowed; allowed; reports tell roles
 	goneMayRun             bool          // the list's word that a server is gone proves nothing
 	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
+	tightest               time.Duration // the tightest bound of any op type
 	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
 
@@ -189,7 +190,7 @@
 func New(h Host, d *Deployment) *Gateway {
 	g := &Gateway{
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
-		tick: max(d.Round, time.Millisecond), brief: time.Hour,
+		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
@@ -202,10 +203,13 @@
 		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
 			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, timeout: t.Timeout, value: t.Value,
 			late: t.LateValue})
-		if t.Need == Bounded && d.ReportsPosition && !d.TellsPosition && (g.steady == 0 || t.Bound/2 < g.steady) {
-			g.steady = t.Bound / 2
+		if t.Need == Bounded {
+			g.tightest = min(g.tightest, t.Bound)
 		}
 	}
+	if d.ReportsPosition && !d.TellsPosition {
+		g.steady = g.tightest / 2
+	}
 	if d.Probes {
 		g.firstNeeds = 1
 	}
@@ -429,13 +433,16 @@
 }
 
 // rotate takes the next replica in turn whose position reaches want, passing over those with overdue
-// answers while there are others. A cold one gets turns as its ramp allows.
+// answers while there are others. A cold one gets turns as its ramp allows. Reads that any data will do
+// for go first to replicas that are too far behind for others: so the fresh ones stay free and, with
+// fewer long reads to stop them, keep applying the log.
 func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) *server {
-	for _, overdueToo := range [2]bool{false, true} {
+	for pass := range 3 {
 		var best *server
 		total := 0.0
 		for _, s := range gr.members {
-			if !gr.reads(s) || s.pos < want || !overdueToo && s.overdue(now) {
+			if !gr.reads(s) || s.pos < want || pass < 2 && s.overdue(now) ||
+				pass == 0 && (want != LongPast || s.pos >= now-g.tightest) {
 				continue
 			}
 			w := s.weight * g.ramp(now, s)
