Sends whose answers must be lost no longer fill a server's limit

Such sends kept their place until the op timeout, so a primary set aside with one send allowed stayed shut for seconds. Guards against lost answers of any cause; it could let a hung server have one more send now and then.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -116,6 +116,9 @@
 	held, done        bool
 }
 
+// lost tells whether no answer to the send that is out can be expected any more.
+func (o *op) lost(now time.Duration) bool { return now-o.sentAt > 2*silentAfter*o.t.usual() }
+
 // want is the position that a replica must have reached for this op.
 func (o *op) want(now time.Duration) time.Duration {
 	switch o.t.need {
@@ -394,14 +397,14 @@
 	case o.t.need == Write && home == nil:
 		return g.scout(now, o)
 	case o.t.need == Write || o.t.need == Fresh:
-		return room(home, 1)
+		return room(now, home, 1)
 	}
 	s := g.rotate(now, o.group, o.want(now))
 	if s == nil && g.checked && !o.missed {
-		s = mostAdvanced(o.group)
+		s = mostAdvanced(now, o.group)
 	}
 	if s == nil && now >= o.holdUntil {
-		s = room(home, homeShare)
+		s = room(now, home, homeShare)
 	}
 	return s
 }
@@ -420,13 +423,23 @@
 }
 
 // reads tells whether a member may take a read as a replica now.
-func (gr *group) reads(s *server) bool {
-	return s != gr.primary && s.usable() && room(s, 1) != nil
+func (gr *group) reads(now time.Duration, s *server) bool {
+	return s != gr.primary && s.usable() && room(now, s, 1) != nil
 }
 
-// room returns the server if it owes less than a share of what it takes.
-func room(s *server, share float64) *server {
-	if s == nil || float64(len(s.owed)) >= s.limit*share {
+// room returns the server if it owes less than a share of what it takes. Sends whose answers must have
+// been lost do not count: a server that loses some is not shut for the others.
+func room(now time.Duration, s *server, share float64) *server {
+	if s == nil {
+		return nil
+	}
+	owes := 0.0
+	for _, o := range s.owed {
+		if !o.lost(now) {
+			owes++
+		}
+	}
+	if owes >= s.limit*share {
 		return nil
 	}
 	return s
@@ -441,7 +454,7 @@
 		var best *server
 		total := 0.0
 		for _, s := range gr.members {
-			if !gr.reads(s) || s.pos < want || pass < 2 && s.overdue(now) ||
+			if !gr.reads(now, s) || s.pos < want || pass < 2 && s.overdue(now) ||
 				pass == 0 && (want != LongPast || s.pos >= now-g.tightest) {
 				continue
 			}
@@ -461,9 +474,9 @@
 }
 
 // mostAdvanced is the replica to try where replicas check reads themselves.
-func mostAdvanced(gr *group) (best *server) {
+func mostAdvanced(now time.Duration, gr *group) (best *server) {
 	for _, s := range gr.members {
-		if gr.reads(s) && (best == nil || s.pos > best.pos) {
+		if gr.reads(now, s) && (best == nil || s.pos > best.pos) {
 			best = s
 		}
 	}
@@ -477,7 +490,7 @@
 		// The last send that an op has is kept for the primary once it is known.
 		if o.sends < g.maxSends-1 && s.usable() && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
-			return room(s, 1)
+			return room(now, s, 1)
 		}
 	}
 	return nil
@@ -629,6 +642,9 @@
 func (s *server) silent(now time.Duration) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
+		if o.lost(now) {
+			continue
+		}
 		wait := float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual())
 		sum, longest = sum+wait, max(longest, wait)
 	}
