--- a/choice/choice.go
+++ b/choice/choice.go
@@ -588,7 +588,7 @@
 		o.t.took.add(took, o.t.target)
 		switch owes := float64(len(s.owed) + 1); {
 		case took > o.t.target/fullShare && now-s.cutAt > took:
-			s.limit, s.cutAt = max(s.limit*cut, 2), now
+			s.limit, s.cutAt = max(s.limit*cut, 1), now
 		case took > o.t.target/fullShare || owes < s.limit*0.75:
 		default:
 			s.limit += 1 / s.limit
@@ -596,11 +596,11 @@
 	case Miss:
 		s.heard = now
 	case ServerFull:
-		s.heard, s.limit = now, max(2, min(s.limit, float64(len(s.owed)))*cut)
+		s.heard, s.limit = now, max(1, min(s.limit, float64(len(s.owed)))*cut)
 	case ServerError:
 		s.heard = now
 		// A primary that fails some ops is still the only one for writes.
-		if s.bad++; s != s.group.primary && (s.limit < 2 || s.bad > 2 && s.bad > s.good) {
+		if s.bad++; s != s.group.primary && s.bad > 2 && s.bad > s.good {
 			g.setAside(now, s)
 		}
 	case NoConnection, Reset:
