Count a marked retry as half its latency target old

Cause: busy replies come when an op can earn nothing more, so most retries start with their target spent; those with an ordinary time could not be told. It harms a retry whose first try failed at once elsewhere.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -227,7 +227,7 @@
 
 // Op is called when a client's op comes in. wroteAgo is 0 where the session's last write is not told.
 func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
-	inGroup uint16, wroteAgo time.Duration) {
+	inGroup uint16, wroteAgo time.Duration, again bool) {
 	t := &g.types[kind]
 	o := &op{id: id, t: t, group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: LongPast, holdUntil: now + t.hold}
@@ -242,6 +242,9 @@
 		t.votes--
 		o.targetAt = due - t.timeout + t.target
 	}
+	if again {
+		o.targetAt = min(o.targetAt, now+t.target/2)
+	}
 	if t.need == Session {
 		o.mark = g.markOf(now, session, wroteAgo)
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -157,7 +157,7 @@
 			return fmt.Errorf("op type %d of %d", b[7], in.types)
 		}
 		g.Op(now, be.Uint32(b[3:]), b[7], be.Uint64(b[12:]), in.span(be.Uint64(b[20:])),
-			uint16(float32At(b[36:])), millis(float64(float32At(b[40:]))))
+			uint16(float32At(b[36:])), millis(float64(float32At(b[40:]))), b[44]&2 != 0)
 	case evTimer:
 		g.Timer(now, be.Uint32(b[3:]))
 	case evList:
