--- a/choice/choice.go
+++ b/choice/choice.go
@@ -243,7 +243,7 @@
 		o.targetAt = due - t.timeout + t.target
 	}
 	if again {
-		o.targetAt = min(o.targetAt, now+t.target/2)
+		o.targetAt = min(o.targetAt, now+t.target/4)
 	}
 	if t.need == Session {
 		o.mark = g.markOf(now, session, wroteAgo)
