--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,7 +19,7 @@
 // The few constants are ratios, so that they fit any deployment.
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
-	homeShare    = 0.25 // reads sent home may fill this share of what a primary takes, or more by their worth
+	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes, or more by their worth
 	fullShare    = 3    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
@@ -97,9 +97,6 @@
 // usual is what an answer to this type takes these days.
 func (t *opType) usual() time.Duration { return t.took.mean(t.target) }
 
-// worth is the value of such an op for each unit of a server's time.
-func (t *opType) worth() float64 { return t.value / float64(t.usual()) }
-
 type op struct {
 	id                uint32
 	t                 *opType
@@ -178,6 +175,7 @@
 	probes, cancels, roles bool          // allowed; allowed; reports tell roles
 	goneMayRun             bool          // the list's word that a server is gone proves nothing
 	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
+	writeValue             float64       // the highest of any write
 	tightest               time.Duration // the tightest bound of any op type
 	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
@@ -209,6 +207,9 @@
 		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
 			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, timeout: t.Timeout, value: t.Value,
 			late: t.LateValue})
+		if t.Need == Write {
+			g.writeValue = max(g.writeValue, t.Value)
+		}
 		if t.Need == Bounded {
 			g.tightest = min(g.tightest, t.Bound)
 		}
@@ -370,7 +371,7 @@
 	if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
 	} else if !o.held {
-		o.held, o.worth = true, o.t.worth()
+		o.held, o.worth = true, o.t.value/float64(o.t.usual())
 		if now > o.targetAt {
 			o.worth *= o.t.late
 		}
@@ -410,19 +411,13 @@
 		s = mostAdvanced(now, o.group)
 	}
 	if s == nil && now >= o.holdUntil {
-		s = room(now, home, max(homeShare, o.t.worth()/g.writeWorth()))
-	}
-	return s
-}
-
-// writeWorth is the worth of the most worthy kind of op that only a primary takes.
-func (g *Gateway) writeWorth() (most float64) {
-	for i := range g.types {
-		if t := &g.types[i]; t.need == Write || t.need == Fresh {
-			most = max(most, t.worth())
+		share := homeShare
+		if o.t.value >= g.writeValue {
+			share = 1
 		}
+		s = room(now, home, share)
 	}
-	return most
+	return s
 }
 
 // home is the primary, if one is known that takes work.
