--- a/choice/choice.go
+++ b/choice/choice.go
@@ -82,16 +82,14 @@
 }
 
 type opType struct {
-	effect        Effect
-	scope         Scope
-	need          Need
-	window, bound time.Duration
-	target, hold  time.Duration
-	timeout       time.Duration
-	value, late   float64   // late: the share of the value that is left past the latency target
-	tryShare      float64   // the share of the op timeout that most tries are given
-	votes         int       // how often that was seen, less other shares
-	took          histogram // answer times as parts of the latency target
+	effect                         Effect
+	scope                          Scope
+	need                           Need
+	window, bound, target, timeout time.Duration
+	value, late                    float64   // late: the share of the value that is left past the latency target
+	tryShare                       float64   // the share of the op timeout that most tries are given
+	votes                          int       // how often that was seen, less other shares
+	took                           histogram // answer times as parts of the latency target
 }
 
 // usual is what an answer to this type takes these days.
@@ -176,7 +174,6 @@
 	goneMayRun             bool          // the list's word that a server is gone proves nothing
 	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
 	writeValue             float64       // the highest of any write
-	tightest               time.Duration // the tightest bound of any op type
 	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
 
@@ -194,7 +191,7 @@
 func New(h Host, d *Deployment) *Gateway {
 	g := &Gateway{
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
-		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
+		tick: max(d.Round, time.Millisecond), brief: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
@@ -205,17 +202,14 @@
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
-			bound: t.Bound, target: t.Target, hold: t.Target / holdShare, timeout: t.Timeout, value: t.Value,
+			bound: t.Bound, target: t.Target, timeout: t.Timeout, value: t.Value,
 			late: t.LateValue})
 		if t.Need == Write {
 			g.writeValue = max(g.writeValue, t.Value)
 		}
-		if t.Need == Bounded {
-			g.tightest = min(g.tightest, t.Bound)
-		}
 	}
 	if d.ReportsPosition && !d.TellsPosition {
-		g.steady = g.tightest / 2
+		g.steady = g.brief
 	}
 	if d.Probes {
 		g.firstNeeds = 1
@@ -234,7 +228,7 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	t := &g.types[kind]
 	o := &op{id: id, t: t, group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
-		mark: LongPast, holdUntil: now + t.hold}
+		mark: LongPast, holdUntil: now + t.target/holdShare}
 	// Clients give most tries the same part of the op timeout. One that gets another part has what its
 	// client has left since its first try; so that start is known, and what an answer can still earn.
 	switch share := float64(due-now) / float64(max(t.timeout, 1)); {
@@ -258,10 +252,9 @@
 
 // markOf is the position that a session's read must see.
 func (g *Gateway) markOf(now time.Duration, session uint64, wroteAgo time.Duration) time.Duration {
-	if g.carried {
-		if wroteAgo <= 0 {
-			return LongPast
-		}
+	if g.carried && wroteAgo <= 0 {
+		return LongPast
+	} else if g.carried {
 		return now - wroteAgo + wroteAgo>>20 // the age is a float: keep its rounding on the safe side
 	}
 	if m, ok := g.marks[session]; ok {
@@ -273,9 +266,6 @@
 // remember keeps the commit position of a session's write. When there are too many, all fold into one
 // floor for every session, so memory is bounded and no read sees less than it must.
 func (g *Gateway) remember(session uint64, pos time.Duration) {
-	if g.carried || pos == LongPast {
-		return
-	}
 	if len(g.marks) >= rememberedAt {
 		g.floor = g.newest
 		clear(g.marks)
@@ -296,7 +286,7 @@
 	}
 	s, o.at = o.at, nil
 	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
-	if result == Acked && o.t.need == Write {
+	if result == Acked && o.t.need == Write && pos != LongPast {
 		g.remember(o.session, pos)
 	}
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
@@ -361,9 +351,6 @@
 
 // place sends an op where the design wants it, holds it, or gives it up.
 func (g *Gateway) place(now time.Duration, o *op) {
-	if o.done || o.at != nil {
-		return
-	}
 	if now >= g.lastUseful(o) || !g.maySend(now, o, o.maybeZone) {
 		g.giveUp(o)
 		return
@@ -399,12 +386,12 @@
 // choose follows the design: writes and fresh reads go home to the primary, other reads rotate over
 // replicas that are fresh enough; session and bounded reads wait a little for one, then go home.
 func (g *Gateway) choose(now time.Duration, o *op) *server {
-	home := o.group.home()
+	home := o.group.primary
 	switch {
-	case o.t.need == Write && home == nil:
+	case o.t.need == Write && !home.usable():
 		return g.scout(now, o)
 	case o.t.need == Write || o.t.need == Fresh:
-		return room(now, home, 1)
+		return home.room(now, 1)
 	}
 	s := g.rotate(now, o.group, o.want(now))
 	if s == nil && g.checked && !o.missed {
@@ -415,33 +402,17 @@
 		if o.t.value >= g.writeValue {
 			share = 1
 		}
-		s = room(now, home, share)
+		s = home.room(now, share)
 	}
 	return s
 }
 
-// home is the primary, if one is known that takes work.
-func (gr *group) home() *server {
-	if p := gr.primary; p != nil && p.usable() {
-		return p
-	}
-	return nil
-}
-
-// usable tells whether a server may be considered at all.
-func (s *server) usable() bool {
-	return s.state == Ready && s.needs == 0
-}
-
-// reads tells whether a member may take a read as a replica now.
-func (gr *group) reads(now time.Duration, s *server) bool {
-	return s != gr.primary && s.usable() && room(now, s, 1) != nil
-}
+func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
 
-// room returns the server if it owes less than a share of what it takes. Sends whose answers must have
-// been lost do not count: a server that loses some is not shut for the others.
-func room(now time.Duration, s *server, share float64) *server {
-	if s == nil {
+// room returns the server if it is usable and owes less than a share of what it takes. Sends whose answers
+// must have been lost do not count: a server that loses some is not shut for the others.
+func (s *server) room(now time.Duration, share float64) *server {
+	if !s.usable() {
 		return nil
 	}
 	owes := 0.0
@@ -457,16 +428,13 @@
 }
 
 // rotate takes the next replica in turn whose position reaches want, passing over those with overdue
-// answers while there are others. A cold one gets turns as its ramp allows. Reads that any data will do
-// for go first to replicas that are too far behind for others: so the fresh ones stay free and, with
-// fewer long reads to stop them, keep applying the log.
+// answers while there are others. A cold one gets turns as its ramp allows.
 func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) *server {
-	for pass := range 3 {
+	for _, overdueToo := range [2]bool{false, true} {
 		var best *server
 		total := 0.0
 		for _, s := range gr.members {
-			if !gr.reads(now, s) || s.pos < want || pass < 2 && s.overdue(now) ||
-				pass == 0 && (want != LongPast || s.pos >= now-g.tightest) {
+			if s == gr.primary || s.pos < want || s.room(now, 1) == nil || !overdueToo && s.overdue(now) {
 				continue
 			}
 			w := s.weight * g.ramp(now, s)
@@ -487,7 +455,7 @@
 // mostAdvanced is the replica to try where replicas check reads themselves.
 func mostAdvanced(now time.Duration, gr *group) (best *server) {
 	for _, s := range gr.members {
-		if gr.reads(now, s) && (best == nil || s.pos > best.pos) {
+		if s != gr.primary && s.room(now, 1) != nil && (best == nil || s.pos > best.pos) {
 			best = s
 		}
 	}
@@ -501,7 +469,7 @@
 		// The last send that an op has is kept for the primary once it is known.
 		if o.sends < g.maxSends-1 && s.usable() && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
-			return room(now, s, 1)
+			return s.room(now, 1)
 		}
 	}
 	return nil
@@ -519,7 +487,7 @@
 // send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
 func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
 	// Rule 5: the server is the primary, is known to have what is needed, or checks for itself.
-	fresh := s == s.group.primary || o.t.need == Write || g.checked || s.pos >= o.want(now)
+	fresh := s == o.group.primary || o.t.need == Write || g.checked || s.pos >= o.want(now)
 	if o.done || o.at != nil || !g.maySend(now, o, s.zone) || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
 		!fresh || !g.coldTakes(now, s) { // rules 5 and 4
@@ -570,11 +538,11 @@
 	}
 	gr := s.group
 	s.role, s.roleAt = role, at
-	if role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt) {
+	switch {
+	case role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt):
 		gr.primary = s
 		g.host.Log("primary found")
-	}
-	if role == Replica && gr.primary == s {
+	case role == Replica && gr.primary == s:
 		gr.primary = nil
 	}
 }
@@ -674,11 +642,9 @@
 		g.setAside(now, s)
 		s.needs = answered
 	case result == Acked && s.needs > 0:
-		// If it has answered no op since it was set aside, it gets one send at a time until one is acked.
-		if s.needs--; s.needs == 0 && s.wait > 0 {
-			if s.bad, s.good = 0, 0; s.heard < s.cutAt {
-				s.limit = 1
-			}
+		s.needs, s.bad, s.good = s.needs-1, 0, 0
+		if s.wait > 0 && s.heard < s.cutAt {
+			s.limit = 1 // it has answered no op since it was set aside
 		}
 	}
 }
@@ -756,17 +722,13 @@
 				g.setAside(now, s)
 				g.callBack(now, s)
 			}
-			g.probe(now, s)
+			// Probed is what is to be trusted (again), or where nothing else tells a position or the primary.
+			if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
+				g.roles && len(gr.held) > 0 && !gr.primary.usable()) {
+				s.nextProbe = math.MaxInt64
+				g.host.Probe(s.id)
+			}
 		}
 		g.wake(now, gr)
 	}
 }
-
-// probe asks a server that is to be trusted (again), or for its position or role where nothing else tells.
-func (g *Gateway) probe(now time.Duration, s *server) {
-	if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
-		g.roles && len(s.group.held) > 0 && s.group.home() == nil) {
-		s.nextProbe = math.MaxInt64
-		g.host.Probe(s.id)
-	}
-}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -68,7 +68,7 @@
 }
 
 func do(g *Gateway, now time.Duration, id uint32, kind uint8) {
-	g.Op(now, id, kind, 0, now+2*time.Second, 0, 0)
+	g.Op(now, id, kind, 0, now+2*time.Second, 0, 0, false)
 }
 
 func TestOrdinaryPath(t *testing.T) {
@@ -82,7 +82,7 @@
 
 func TestSessionReadHeldThenHome(t *testing.T) {
 	g, h := start(nil)
-	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms)
+	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms, false)
 	want(t, h) // no replica is known to have reached 50 ms
 	g.Timer(190*ms, 0)
 	want(t, h)
@@ -92,7 +92,7 @@
 
 func TestPositionFreesHeldRead(t *testing.T) {
 	g, h := start(nil)
-	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms)
+	g.Op(100*ms, 1, session, 9, 2*time.Second, 0, 50*ms, false)
 	g.Report(120*ms, 3, Replica, 60*ms)
 	g.Timer(120*ms, 0)
 	want(t, h, "send 1 to 3")
