--- a/choice/choice.go
+++ b/choice/choice.go
@@ -724,7 +724,7 @@
 			}
 			// Probed is what is to be trusted (again), or where nothing else tells a position or the primary.
 			if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
-				g.roles && len(gr.held) > 0) {
+				g.roles && len(gr.held) > 0 && !gr.primary.usable()) {
 				s.nextProbe = math.MaxInt64
 				g.host.Probe(s.id)
 			}
