--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,7 +20,7 @@
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
 	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes, or more by their worth
-	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
+	fullShare    = 9    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
