Gateways share the growth of limits

Cause: each gateway's limit grew by one per round of answers, so eight gateways tried eight more sends at once on a server of three cores. Growth is now one per round for all together. If many gateways are down, the others find their larger share more slowly.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,7 +20,7 @@
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
 	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes, or more by their worth
-	fullShare    = 9    // answers later than this part of the latency target show a queue at the server
+	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
@@ -179,6 +179,7 @@
 
 	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
 
+	gateways               float64
 	coldFrom, coldMultiple float64
 	coldTime, coldPart     time.Duration
 	warmTakes              float64 // most that a warm server took from here in one window
@@ -196,8 +197,8 @@
 		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
-		coldPart: max(1, d.OverloadTime/parts),
-		marks:    map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
+		coldPart: max(1, d.OverloadTime/parts), gateways: max(1, float64(d.Gateways)),
+		marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
@@ -570,7 +571,7 @@
 			s.limit, s.cutAt = max(s.limit*cut, 1), now
 		case took > o.t.target/fullShare || owes < s.limit*0.75:
 		default:
-			s.limit += 1 / s.limit
+			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	case Miss:
 		s.heard = now
--- a/choice/host.go
+++ b/choice/host.go
@@ -76,6 +76,7 @@
 // Deployment is what a gateway is told of its surroundings at start.
 type Deployment struct {
 	OpTypes           []OpType
+	Gateways          int
 	Round             time.Duration // the least time between two events
 	ListAsked         bool          // the list comes only when asked for
 	AskWithin         time.Duration // unasked for this long, a gateway is deemed told
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -206,6 +206,7 @@
 		in.names = s.list("report.names")
 	}
 	d := &choice.Deployment{
+		Gateways:          int(s.num("balancers")),
 		Round:             s.span("round"),
 		ListAsked:         v["registry_mode"] == "on_request",
 		AskWithin:         s.span("rules.must_ask_in"),
