--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	answered     = 2    // probes that bring a server back that was set aside
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
 	parts        = 8    // parts of the window in which work for a cold server is counted
-	coldCaution  = 0.35 // of the allowance for a cold server that is used: counts stand in for work
+	coldCaution  = 0.8  // of the allowance for a cold server that is used: counts stand in for work
 	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
 )
 
@@ -182,7 +182,6 @@
 	gateways               float64
 	coldFrom, coldMultiple float64
 	coldTime, coldPart     time.Duration
-	warmTakes              float64 // most that a warm server took from here in one window
 
 	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
 	newest, floor time.Duration            // the newest mark kept, and the newest that was dropped
@@ -515,14 +514,23 @@
 }
 
 // coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
-// worst-case capacity, taken from what warm servers were seen to take from this gateway.
+// worst-case capacity, taken from what warm servers take from this gateway on average: all gateways
+// together send those no more than they can do.
 func (g *Gateway) coldTakes(now time.Duration, s *server) bool {
 	part := int64(now / g.coldPart)
-	sum, r := s.sent.sum(part), g.ramp(now-g.coldPart*parts, s)
-	if r >= 1 {
-		g.warmTakes = max(g.warmTakes, sum)
-	} else if sum >= max(2, g.warmTakes*r*g.coldMultiple*coldCaution) {
-		return false
+	sum := s.sent.sum(part)
+	if r := g.ramp(now-g.coldPart*parts, s); r < 1 {
+		warm, n := 0.0, 0.0
+		for _, gr := range g.listed {
+			for _, m := range gr.members {
+				if m.usable() && g.ramp(now, m) >= 1 {
+					warm, n = warm+m.sent.sum(part), n+1
+				}
+			}
+		}
+		if sum >= max(1, warm/max(n, 1)*r*g.coldMultiple*coldCaution) {
+			return false
+		}
 	}
 	s.sent.counts[part%parts]++
 	return true
