Set aside servers that mostly refuse as full

Kept: it also holds against any server that refuses out of habit; a merely full one rests for a few milliseconds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -584,16 +584,17 @@
 	case Miss:
 		s.heard = now
 	case ServerFull:
-		s.heard, s.limit = now, max(1, min(s.limit, float64(len(s.owed)))*cut)
+		s.heard, s.bad, s.limit = now, s.bad+1, max(1, min(s.limit, float64(len(s.owed)))*cut)
 	case ServerError:
-		s.heard = now
-		// A primary that fails some ops is still the only one for writes.
-		if s.bad++; s != s.group.primary && s.bad > 2 && s.bad > s.good {
-			g.setAside(now, s)
-		}
+		s.heard, s.bad = now, s.bad+1
 	case NoConnection, Reset:
 		g.setAside(now, s)
 	}
+	// A server that mostly refuses or fails does so quickly and would draw ever more ops. A primary that
+	// fails some is still the only one for writes.
+	if s.bad > 2 && s.bad > s.good && (result == ServerFull || result == ServerError && s != s.group.primary) {
+		g.setAside(now, s)
+	}
 	if s.bad+s.good >= fullTurn/4 {
 		s.bad, s.good = s.bad/2, s.good/2
 	}
