A primary that starts again is not presumed primary; shorten

A machine that restarts comes back as a replica as a rule, and session or bounded reads sent home to it would be stale.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,7 @@
 	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes, or more by their worth
 	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
+	inUse        = 0.75 // a limit grows only while this share of it is used
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
 	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
@@ -369,10 +370,8 @@
 }
 
 func (o *op) unhold() {
-	if o.held {
-		o.held = false
-		o.group.held = slices.DeleteFunc(o.group.held, func(p *op) bool { return p == o })
-	}
+	o.held = false
+	o.group.held = slices.DeleteFunc(o.group.held, func(p *op) bool { return p == o })
 }
 
 // wake tries the held ops of a group again.
@@ -574,11 +573,9 @@
 		s.heard, s.wait = now, 0
 		s.good++
 		o.t.took.add(took, o.t.target)
-		switch owes := float64(len(s.owed) + 1); {
-		case took > o.t.target/fullShare && now-s.cutAt > took:
+		if slow := took > o.t.target/fullShare; slow && now-s.cutAt > took {
 			s.limit, s.cutAt = max(s.limit*cut, 1), now
-		case took > o.t.target/fullShare || owes < s.limit*0.75:
-		default:
+		} else if !slow && float64(len(s.owed)+1) >= s.limit*inUse {
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	case Miss:
@@ -631,11 +628,9 @@
 func (s *server) silent(now time.Duration) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
-		if o.lost(now) {
-			continue
+		if wait := float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual()); !o.lost(now) {
+			sum, longest = sum+wait, max(longest, wait)
 		}
-		wait := float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual())
-		sum, longest = sum+wait, max(longest, wait)
 	}
 	return sum > silentAfter && longest > overdueAfter
 }
@@ -692,15 +687,16 @@
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
-	if s.started != l.Started { // it has started again: what was known of it holds no more
-		s.started, s.needs, s.limit = l.Started, g.firstNeeds, startLimit
-	}
 	if l.State == Gone && g.goneMayRun && s.state == Ready {
 		g.setAside(now, s)
 		return
 	}
+	again := s.started != l.Started // it has started again: what was known of it holds no more
+	if again {
+		s.started, s.needs, s.limit = l.Started, g.firstNeeds, startLimit
+	}
 	s.zone, s.state, s.weight = l.Zone, l.State, cmp.Or(float64(l.Weight), 1)
-	if s.state != Ready && s.group.primary == s {
+	if (again || s.state != Ready) && s.group.primary == s {
 		s.group.primary = nil
 	}
 	// The list is late: its word on roles counts only where the server has not spoken itself.
