Long reads share the warm replica that is furthest behind

A read to which any data will do and whose usual time exceeds the tightest bound now goes to the replica furthest behind, for as long as a session read may be held. Harm: such reads wait longer.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,6 +166,7 @@
 	goneMayRun             bool          // the list's word that a server is gone proves nothing
 	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
 	writeValue             float64       // the highest of any write
+	tightest               time.Duration // the tightest bound of any op type
 	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
 
@@ -183,7 +184,7 @@
 func New(h Host, d *Deployment) *Gateway {
 	g := &Gateway{
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
-		tick: max(d.Round, time.Millisecond), brief: time.Hour,
+		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
@@ -196,6 +197,9 @@
 		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
 			bound: t.Bound, target: t.Target, timeout: t.Timeout, value: t.Value,
 			late: t.LateValue})
+		if t.Need == Bounded {
+			g.tightest = min(g.tightest, t.Bound)
+		}
 		if t.Need == Write {
 			g.writeValue = max(g.writeValue, t.Value)
 		}
@@ -386,9 +390,14 @@
 	case o.t.need == Write || o.t.need == Fresh:
 		return home.room(now, 1)
 	}
+	// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
+	// reads share the replica that is furthest behind, so that the others stay fresh.
+	if o.t.need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
+		return g.furthest(now, o.group, -1).room(now, 1)
+	}
 	s := g.rotate(now, o.group, o.want(now))
 	if s == nil && g.checked && !o.missed {
-		s = mostAdvanced(now, o.group)
+		s = g.furthest(now, o.group, 1)
 	}
 	if s == nil && now >= o.holdUntil {
 		share := homeShare
@@ -445,10 +454,11 @@
 	return nil
 }
 
-// mostAdvanced is the replica to try where replicas check reads themselves.
-func mostAdvanced(now time.Duration, gr *group) (best *server) {
+// furthest is the replica with room that is furthest ahead (way 1), or the warm one furthest behind (-1).
+func (g *Gateway) furthest(now time.Duration, gr *group, way time.Duration) (best *server) {
 	for _, s := range gr.members {
-		if s != gr.primary && s.room(now, 1) != nil && (best == nil || s.pos > best.pos) {
+		fits := way > 0 && s.room(now, 1) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
+		if s != gr.primary && fits && (best == nil || (s.pos-best.pos)*way > 0) {
 			best = s
 		}
 	}
