--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,7 @@
 	answered     = 2    // probes that bring a server back that was set aside
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
 	parts        = 8    // parts of the window in which work for a cold server is counted
-	coldCaution  = 0.8  // of the allowance for a cold server that is used: counts stand in for work
+	coldCaution  = 0.8  // of the allowance for a cold server that is used: usual times stand in for work
 	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
 )
 
@@ -62,9 +62,9 @@
 	return time.Duration(sum / float64(h.total))
 }
 
-// window counts events over the stated overload window, in parts.
+// window adds up usual answer times sent over the stated overload window, in parts.
 type window struct {
-	counts [parts]int32
+	counts [parts]time.Duration
 	newest int64
 }
 
@@ -106,6 +106,7 @@
 	sends             int
 	at                *server       // where a send is out, or nil
 	sentAt            time.Duration // when the newest send went out
+	work              time.Duration // that it was taken to bring
 	mayHaveRun        bool          // a send may have run: the first such one
 	maybeAt           time.Duration // went out at this time
 	cancelled, missed bool          // the send that is out was called back; a replica turned this read away
@@ -293,7 +294,7 @@
 		o.mayHaveRun, o.maybeAt = true, o.sentAt
 	}
 	if neverRan && g.ramp(now, s) >= 1 {
-		s.sent.counts[s.sent.newest%parts]-- // what a warm server turned away does not show what it takes
+		s.sent.counts[s.sent.newest%parts] -= o.work // what a warm server turned away does not show what it takes
 	}
 	g.judge(now, s, o, result, took)
 	if final || o.done || result == Acked {
@@ -493,10 +494,10 @@
 	fresh := s == o.group.primary || o.t.need == Write || g.checked || s.pos >= o.want(now)
 	if o.done || o.at != nil || !g.maySend(now, o) || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
-		!fresh || !g.coldTakes(now, s) { // rules 5 and 4
+		!fresh || !g.coldTakes(now, s, o.t.usual()) { // rules 5 and 4
 		return false
 	}
-	o.at, o.sentAt, o.cancelled = s, now, false
+	o.at, o.sentAt, o.work, o.cancelled = s, now, o.t.usual(), false
 	o.sends++
 	s.owed = append(s.owed, o)
 	timeout := time.Duration(0)
@@ -519,7 +520,7 @@
 // coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
 // worst-case capacity, taken from what warm servers take from this gateway on average: all gateways
 // together send those no more than they can do.
-func (g *Gateway) coldTakes(now time.Duration, s *server) bool {
+func (g *Gateway) coldTakes(now time.Duration, s *server, work time.Duration) bool {
 	part := int64(now / g.coldPart)
 	sum := s.sent.sum(part)
 	if r := g.ramp(now-g.coldPart*parts, s); r < 1 {
@@ -531,11 +532,11 @@
 				}
 			}
 		}
-		if sum >= max(1, warm/max(n, 1)*r*g.coldMultiple*coldCaution) {
+		if sum > 0 && sum+float64(work) > warm/max(n, 1)*r*g.coldMultiple*coldCaution {
 			return false
 		}
 	}
-	s.sent.counts[part%parts]++
+	s.sent.counts[part%parts] += work
 	return true
 }
 
