--- a/choice/choice.go
+++ b/choice/choice.go
@@ -164,11 +164,10 @@
 	tick, brief            time.Duration // between looks at the clock; the design's brief wait
 	checked, carried       bool          // replicas check reads; a session read tells its mark
 	probes, cancels, roles bool          // allowed; allowed; reports tell roles
-	goneMayRun             bool          // the list's word that a server is gone proves nothing
+	goneMayRun, steady     bool          // the list's word 'gone' proves nothing; only probes tell positions
 	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
 	writeValue             float64       // the highest of any write
 	tightest               time.Duration // the tightest bound of any op type
-	steady                 time.Duration // between probes where answers tell no position
 	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
 
 	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
@@ -187,9 +186,9 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds,
+		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
-		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: d.ColdTime,
+		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		coldPart: max(1, d.OverloadTime/parts), gateways: max(1, float64(d.Gateways)),
 		marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
 	}
@@ -205,9 +204,6 @@
 			g.writeValue = max(g.writeValue, t.Value)
 		}
 	}
-	if d.ReportsPosition && !d.TellsPosition {
-		g.steady = g.brief
-	}
 	if d.Probes {
 		g.firstNeeds = 1
 	}
@@ -467,10 +463,10 @@
 }
 
 // scout finds a member to try a write on while the primary is unknown: in id order, each that has not
-// just said that it is none. After one round of misses a brief wait passes before the next.
+// just said that it is none. After one round of misses a brief wait passes before the next. The last send
+// that an op has is kept for the primary once it is known.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
-		// The last send that an op has is kept for the primary once it is known.
 		if o.sends < g.maxSends-1 && s.usable() && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
 			return s.room(now, 1)
@@ -510,11 +506,7 @@
 
 // ramp is the least share of its capacity that a server can have by now.
 func (g *Gateway) ramp(now time.Duration, s *server) float64 {
-	age := now - s.started
-	if age >= g.coldTime {
-		return 1
-	}
-	return g.coldFrom + (1-g.coldFrom)*max(0, float64(age)/float64(g.coldTime))
+	return min(1, g.coldFrom+(1-g.coldFrom)*max(0, float64(now-s.started)/float64(g.coldTime)))
 }
 
 // coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
@@ -613,16 +605,6 @@
 	g.host.Log("server set aside")
 }
 
-// callBack cancels the reads that a silent replica owes, so that others can answer them in time. Writes
-// stay out: only this server could say how they ended.
-func (g *Gateway) callBack(now time.Duration, s *server) {
-	for _, o := range s.owed {
-		if s != s.group.primary && o.t.effect == Retryable && o.sends < g.maxSends && now < g.lastUseful(o) {
-			g.cancel(o)
-		}
-	}
-}
-
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
 	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.sentAt > overdueAfter*o.t.usual() })
@@ -646,7 +628,7 @@
 	if s == nil {
 		return
 	}
-	s.nextProbe = now + max(g.steady, s.wait, g.brief)
+	s.nextProbe = now + max(s.wait, g.brief)
 	switch {
 	case result == NoConnection || result == Reset || result == TimedOut:
 		g.setAside(now, s)
@@ -711,13 +693,11 @@
 }
 
 func (g *Gateway) group(id uint16) *group {
-	gr := g.groups[id]
-	if gr == nil {
-		gr = &group{}
-		g.groups[id] = gr
-		g.listed = append(g.listed, gr)
+	if g.groups[id] == nil {
+		g.groups[id] = &group{}
+		g.listed = append(g.listed, g.groups[id])
 	}
-	return gr
+	return g.groups[id]
 }
 
 // Timer is called when a timer that the gateway set has come due.
@@ -731,10 +711,16 @@
 		for _, s := range gr.members {
 			if s.silent(now) {
 				g.setAside(now, s)
-				g.callBack(now, s)
+				// Reads that a silent replica owes go to others in time. Writes stay out: only this server
+				// could say how they ended.
+				for _, o := range s.owed {
+					if s != gr.primary && o.t.effect == Retryable && o.sends < g.maxSends && now < g.lastUseful(o) {
+						g.cancel(o)
+					}
+				}
 			}
 			// Probed is what is to be trusted (again), or where nothing else tells a position or the primary.
-			if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady > 0 ||
+			if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady ||
 				g.roles && len(gr.held) > 0 && !gr.primary.usable()) {
 				s.nextProbe = math.MaxInt64
 				g.host.Probe(s.id)
