--- a/choice/choice.go
+++ b/choice/choice.go
@@ -342,7 +342,7 @@
 	if o.t.late > 0 {
 		return o.due - 2*g.tick
 	}
-	return min(o.due-2*g.tick, o.targetAt-o.t.usual()/2)
+	return min(o.due-2*g.tick, o.targetAt-o.t.usual())
 }
 
 // place sends an op where the design wants it, holds it, or gives it up.
@@ -669,7 +669,7 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: startLimit, needs: g.firstNeeds, cutAt: LongPast, heard: LongPast}
+			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, cutAt: LongPast, heard: LongPast}
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -680,7 +680,7 @@
 	}
 	again := s.started != l.Started // it has started again: what was known of it holds no more
 	if again {
-		s.started, s.needs, s.limit = l.Started, g.firstNeeds, startLimit
+		s.started, s.needs, s.limit = l.Started, g.firstNeeds, max(1, startLimit/g.gateways)
 	}
 	s.state, s.weight = l.State, cmp.Or(float64(l.Weight), 1)
 	if (again || s.state != Ready) && s.group.primary == s {
