--- a/choice/choice.go
+++ b/choice/choice.go
@@ -339,10 +339,11 @@
 
 // lastUseful is the latest time at which sending an op can still earn anything.
 func (g *Gateway) lastUseful(o *op) time.Duration {
+	end := o.targetAt
 	if o.t.late > 0 {
-		return o.due - 2*g.tick
+		end = o.due
 	}
-	return min(o.due-2*g.tick, o.targetAt-o.t.usual())
+	return min(end-o.t.usual(), o.due-2*g.tick)
 }
 
 // place sends an op where the design wants it, holds it, or gives it up.
