--- a/choice/choice.go
+++ b/choice/choice.go
@@ -175,6 +175,7 @@
 	gateways               float64
 	coldFrom, coldMultiple float64
 	coldTime, coldPart     time.Duration
+	warm                   float64 // what a warm server is sent from here in one window, on average
 
 	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
 	newest, floor time.Duration            // the newest mark kept, and the newest that was dropped
@@ -517,19 +518,9 @@
 // together send those no more than they can do.
 func (g *Gateway) coldTakes(now time.Duration, s *server, work time.Duration) bool {
 	part := int64(now / g.coldPart)
-	sum := s.sent.sum(part)
-	if r := g.ramp(now-g.coldPart*parts, s); r < 1 {
-		warm, n := 0.0, 0.0
-		for _, gr := range g.listed {
-			for _, m := range gr.members {
-				if m.usable() && g.ramp(now, m) >= 1 {
-					warm, n = warm+m.sent.sum(part), n+1
-				}
-			}
-		}
-		if sum > 0 && sum+float64(work) > warm/max(n, 1)*r*g.coldMultiple*coldCaution {
-			return false
-		}
+	sum, r := s.sent.sum(part), g.ramp(now-g.coldPart*parts, s)
+	if r < 1 && sum > 0 && sum+float64(work) > g.warm*r*g.coldMultiple*coldCaution {
+		return false
 	}
 	s.sent.counts[part%parts] += work
 	return true
@@ -710,8 +701,12 @@
 		g.askAt = now + g.askMax
 		g.host.WatchList()
 	}
+	warm, n := 0.0, 0.0
 	for _, gr := range g.listed {
 		for _, s := range gr.members {
+			if s.usable() && g.ramp(now, s) >= 1 {
+				warm, n = warm+s.sent.sum(int64(now/g.coldPart)), n+1
+			}
 			if s.silent(now) {
 				g.setAside(now, s)
 				// Reads that a silent replica owes go to others in time. Writes stay out: only this server
@@ -731,4 +726,7 @@
 		}
 		g.wake(now, gr)
 	}
+	if n > 0 { // with no warm server left, what the last ones took still holds
+		g.warm = warm / n
+	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -170,6 +170,9 @@
 		g.servers[warm].sent.sum(part)
 		g.servers[warm].sent.counts[part%parts] = 2 * time.Second
 	}
+	g.Timer(now, 0)
+	g.servers[1].needs, g.servers[2].needs = 2, 2 // and then all warm ones are lost
+	g.Timer(now, 0)
 	n := 0
 	for g.coldTakes(now, s, 100*ms) {
 		n++
