--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,10 +17,12 @@
 // The few constants are ratios, so that they fit any deployment.
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
-	homeShare    = 0.5  // reads sent home may fill this share of what a primary takes, or more by their worth
+	homeShare    = 0.5  // reads worth less than a write may fill this share of what a primary takes
 	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
 	inUse        = 0.75 // a limit grows only while this share of it is used
+	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
+	retryLeft    = 4    // a marked retry has this part of its latency target left: busy replies come late
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
 	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
@@ -138,7 +140,7 @@
 	limit     float64       // sends that it may owe
 	cutAt     time.Duration // when the limit last shrank
 	credit    float64       // in the rotation
-	bad, good int           // answers that were errors, and acks; both halved now and then
+	bad, good int           // answers that were errors or refusals, and acks; both halved now and then
 	sent      window
 	needs     int           // probes that it must answer before it is used, at first or after being set aside
 	nextProbe time.Duration // never while one is out
@@ -226,7 +228,7 @@
 	// Clients give most tries the same part of the op timeout. One that gets another part has what its
 	// client has left since its first try; so that start is known, and what an answer can still earn.
 	switch share := float64(due-now) / float64(max(t.timeout, 1)); {
-	case math.Abs(share-t.tryShare) < 0.02:
+	case math.Abs(share-t.tryShare) < sameShare:
 		t.votes = min(t.votes+1, fullTurn)
 	case t.votes == 0:
 		t.tryShare, t.votes = share, 1
@@ -235,7 +237,7 @@
 		o.targetAt = due - t.timeout + t.target
 	}
 	if again {
-		o.targetAt = min(o.targetAt, now+t.target/4)
+		o.targetAt = min(o.targetAt, now+t.target/retryLeft)
 	}
 	switch t.need {
 	case Session:
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -130,7 +130,7 @@
 	want(t, h, "send 1 to 1", "send 1 to 2", "send 1 to 3")
 }
 
-// Guards against taking ordinary tries for old ones once a last retry was given more time (waco-main i8ade91).
+// Guards against taking ordinary tries for old ones once a last retry had more time (waco-main i8ade91).
 func TestLongRetryDoesNotMakeFirstTriesOld(t *testing.T) {
 	g, h := start(func(d *Deployment) { d.OpTypes[anyRead].LateValue = 0 })
 	g.types[anyRead].took = histogram{bins: [8]uint32{16}, total: 16} // quick answers
@@ -356,3 +356,26 @@
 	g.Timer(10*ms, 0)
 	want(t, h, "send 1 to 4")
 }
+
+// Lists, reports and answers may disagree: the newest claim of being primary wins, whatever arrives last.
+func TestNewestClaimOfThePrimaryWins(t *testing.T) {
+	g, h := start(nil)
+	g.Report(100*ms, 2, Primary, 90*ms)
+	g.Report(110*ms, 1, Primary, 50*ms)
+	g.List(110*ms, ListChanges, []Listed{{ID: 1, State: Ready, Primary: true, Started: LongPast}})
+	do(g, 120*ms, 1, writeOnce)
+	want(t, h, "send 1 to 2")
+	g.told(g.servers[2], Replica, 95*ms, 130*ms)
+	do(g, 131*ms, 2, fresh)
+	want(t, h) // no primary is known: a read that must be current waits
+}
+
+// Where answers tell no position, replicas are probed steadily.
+func TestSteadyProbesWhereAnswersTellNoPosition(t *testing.T) {
+	g, h := start(func(d *Deployment) { d.TellsPosition, d.ReportsPosition = false, true })
+	g.Timer(5*ms, 0)
+	want(t, h, "probe 1", "probe 2", "probe 3")
+	g.ProbeAnswer(6*ms, 2, Acked, ms)
+	g.Timer(31*ms, 0)
+	want(t, h, "probe 2")
+}
