--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -66,3 +66,15 @@
 		}
 	}
 }
+
+func TestPanicIsReportedAsBug(t *testing.T) {
+	x := &wire{gateways: map[uint16]*instance{}}
+	x.gateways[3] = &instance{x: x, who: 3} // no gateway: any call panics
+	timer := append(unhex(t, "05 0003 00000000"), make([]byte, 41)...)
+	if err := x.event(timer); err != nil {
+		t.Fatal(err)
+	}
+	if len(x.out) != actionSize || x.out[0] != acBug || !strings.Contains(string(x.outTail), "nil pointer") {
+		t.Errorf("records %x, text %q", x.out, x.outTail)
+	}
+}
