Ration the probes of servers set aside by the ops that came in; probe errors count as answers

Cause: at full size a gateway sees four ops a second and dozens of servers, so servers set aside, and all members of a group without a usable primary, were probed up to ten times an op. Probes of servers set aside now take a quarter of an op each; members are no longer probed for their role, as writes find the primary themselves at no price. A probe that ends in an error shows a process that answers: probes fail while ops are served in one new kind of trouble. It also guards against any storm of set-asides. Harm: after a wide outage servers come back more slowly at a gateway with few ops.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
 	silentAfter  = 6    // usual answer times, over all sends owed, without a word: one in four hundred
 	answered     = 2    // probes that bring a server back that was set aside
+	probeShare   = 0.25 // probes for each op that came in, beyond those that the design asks for
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
 	parts        = 8    // parts of the window in which work for a cold server is counted
 	coldCaution  = 0.8  // of the allowance for a cold server that is used: usual times stand in for work
@@ -163,14 +164,15 @@
 	listed  []*group // in the order in which they were first named
 	waking  []*op    // reused
 
-	tick, brief            time.Duration // between looks at the clock; the design's brief wait
-	checked, carried       bool          // replicas check reads; a session read tells its mark
-	probes, cancels, roles bool          // allowed; allowed; reports tell roles
-	goneMayRun, steady     bool          // the list's word 'gone' proves nothing; only probes tell positions
-	maxSends, firstNeeds   int           // sends for an op; probes that a server answers before it is used
-	writeValue             float64       // the highest of any write
-	tightest               time.Duration // the tightest bound of any op type
-	comeBack               time.Duration // the longest wait that a client honours; 0: none is told
+	probing              float64       // probes that may be spent by now
+	tick, brief          time.Duration // between looks at the clock; the design's brief wait
+	checked, carried     bool          // replicas check reads; a session read tells its mark
+	probes, cancels      bool          // allowed
+	goneMayRun, steady   bool          // the list's word 'gone' proves nothing; only probes tell positions
+	maxSends, firstNeeds int           // sends for an op; probes that a server answers before it is used
+	writeValue           float64       // the highest of any write
+	tightest             time.Duration // the tightest bound of any op type
+	comeBack             time.Duration // the longest wait that a client honours; 0: none is told
 
 	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
 
@@ -189,7 +191,7 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		roles: d.ReportsRole, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
+		goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		coldPart: max(1, d.OverloadTime/parts), gateways: max(1, float64(d.Gateways)),
@@ -248,6 +250,7 @@
 		o.mark = LongPast
 	}
 	g.ops[id] = o
+	g.probing = min(g.probing+probeShare, fullTurn/4)
 	g.place(now, o)
 }
 
@@ -629,7 +632,7 @@
 	case result == NoConnection || result == Reset || result == TimedOut:
 		g.setAside(now, s)
 		s.needs = answered
-	case result == Acked && s.needs > 0:
+	case s.needs > 0: // an error is an answer too: probes may fail at servers that serve
 		s.needs, s.bad, s.good = s.needs-1, 0, 0
 		if s.wait > 0 && s.heard < s.cutAt {
 			s.limit = 1 // it has answered no op since it was set aside
@@ -719,9 +722,14 @@
 					}
 				}
 			}
-			// Probed is what is to be trusted (again), or where nothing else tells a position or the primary.
-			if g.probes && s.state == Ready && now >= s.nextProbe && (s.needs > 0 || g.steady ||
-				g.roles && len(gr.held) > 0 && !gr.primary.usable()) {
+			// Probed is what is to be trusted, or trusted again, or where nothing else tells positions. Those of servers
+			// set aside are rationed: with very many gateways or servers they would cost more than the ops.
+			first := s.needs > 0 && s.wait == 0
+			if g.probes && s.state == Ready && now >= s.nextProbe &&
+				(first || g.steady || g.probing >= 1 && s.needs > 0) {
+				if s.wait > 0 {
+					g.probing--
+				}
 				s.nextProbe = math.MaxInt64
 				g.host.Probe(s.id)
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -379,3 +379,21 @@
 	g.Timer(31*ms, 0)
 	want(t, h, "probe 2")
 }
+
+// Guards against probes that cost more than the ops of a gateway that sees few (sofia-games-later big-2), and
+// against servers kept out by probes that fail while ops are served (capitol-assessor-later big-1).
+func TestProbesOfServersSetAsideAreRationedAndErrorsCount(t *testing.T) {
+	g, h := start(nil)
+	g.setAside(0, g.servers[2])
+	g.Timer(50*ms, 0)
+	want(t, h) // no op has come in that could pay for a probe
+	g.probing = 2
+	g.Timer(55*ms, 0)
+	g.ProbeAnswer(56*ms, 2, ServerError, ms)
+	g.Timer(100*ms, 0)
+	g.ProbeAnswer(101*ms, 2, ServerError, ms)
+	want(t, h, "probe 2", "probe 2")
+	if !g.servers[2].usable() || g.probing != 0 {
+		t.Errorf("usable %v with %v probes left, want true and 0", g.servers[2].usable(), g.probing)
+	}
+}
