Walk only busy groups each tick; let a cold server's allowance accrue, beginning below zero by chance

A cold server's allowance now accrues with time and begins below zero by up to one op, drawn by chance, so that the sum over any number of gateways keeps it; what warm servers take is one decaying sum, not a window in each server; idle groups are walked once in a brief wait; the rotation starts at random where there are other gateways. Harm: with few ops a cold server is found later than it could be.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/crc32"
 	"math"
 	"math/bits"
 	"slices"
@@ -30,7 +32,7 @@
 	answered     = 2    // probes that bring a server back that was set aside
 	probeShare   = 0.25 // probes for each op that came in, beyond those that the design asks for
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
-	parts        = 8    // parts of the window in which work for a cold server is counted
+	unspent      = 8    // part of the stated overload time for which a cold server's allowance adds up unused
 	coldCaution  = 0.8  // of the allowance for a cold server that is used: usual times stand in for work
 	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
 )
@@ -65,24 +67,6 @@
 	return time.Duration(sum / float64(h.total))
 }
 
-// window adds up usual answer times sent over the stated overload window, in parts.
-type window struct {
-	counts [parts]time.Duration
-	newest int64
-}
-
-// sum drops the parts that have left the window and adds up the others.
-func (w *window) sum(part int64) (sum float64) {
-	for w.newest < part {
-		w.newest = max(w.newest+1, part-parts)
-		w.counts[w.newest%parts] = 0
-	}
-	for _, n := range w.counts {
-		sum += float64(n)
-	}
-	return sum
-}
-
 type opType struct {
 	effect                         Effect
 	scope                          Scope
@@ -109,7 +93,7 @@
 	sends             int
 	at                *server       // where a send is out, or nil
 	sentAt            time.Duration // when the newest send went out
-	work              time.Duration // that it was taken to bring
+	work              time.Duration // that it was taken to bring, if to a warm server
 	mayHaveRun        bool          // a send may have run: the first such one
 	maybeAt           time.Duration // went out at this time
 	cancelled, missed bool          // the send that is out was called back; a replica turned this read away
@@ -142,7 +126,8 @@
 	cutAt     time.Duration // when the limit last shrank
 	credit    float64       // in the rotation
 	bad, good int           // answers that were errors or refusals, and acks; both halved now and then
-	sent      window
+	allowed   float64       // work that it may be sent while cold; below 0 it has had more
+	allowedAt time.Duration
 	needs     int           // probes that it must answer before it is used, at first or after being set aside
 	nextProbe time.Duration // never while one is out
 	wait      time.Duration // between probes while set aside
@@ -152,6 +137,7 @@
 	members []*server // in id order
 	primary *server   // the member with the newest evidence of being it
 	held    []*op     // most valuable first
+	owed    int       // sends out to members
 }
 
 // Gateway decides where every op of one gateway goes.
@@ -178,8 +164,10 @@
 
 	gateways               float64
 	coldFrom, coldMultiple float64
-	coldTime, coldPart     time.Duration
-	warm                   float64 // what a warm server is sent from here in one window, on average
+	coldTime, overloadTime time.Duration
+	sentWarm, warm         float64       // work sent to warm servers of late; what one of them is sent in a unit of time
+	timedAt, walkedAt      time.Duration // the last timer; the last that walked all groups
+	seed, draws            uint64
 
 	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
 	newest, floor time.Duration            // the newest mark kept, and the newest that was dropped
@@ -194,7 +182,7 @@
 		goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
-		coldPart: max(1, d.OverloadTime/parts), gateways: max(1, float64(d.Gateways)),
+		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
@@ -297,8 +285,9 @@
 	if !neverRan && !o.mayHaveRun {
 		o.mayHaveRun, o.maybeAt = true, o.sentAt
 	}
-	if neverRan && g.ramp(now, s) >= 1 {
-		s.sent.counts[s.sent.newest%parts] -= o.work // what a warm server turned away does not show what it takes
+	s.group.owed--
+	if neverRan {
+		g.sentWarm = max(0, g.sentWarm-float64(o.work)) // what was turned away does not show what a server takes
 	}
 	g.judge(now, s, o, result, took)
 	if final || o.done || result == Acked {
@@ -499,11 +488,12 @@
 	fresh := s == o.group.primary || o.t.need == Write || g.checked || s.pos >= o.want(now)
 	if o.done || o.at != nil || !g.maySend(now, o) || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
-		!fresh || !g.coldTakes(now, s, o.t.usual()) { // rules 5 and 4
+		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
-	o.at, o.sentAt, o.work, o.cancelled = s, now, o.t.usual(), false
+	o.at, o.sentAt, o.cancelled = s, now, false
 	o.sends++
+	s.group.owed++
 	s.owed = append(s.owed, o)
 	timeout := time.Duration(0)
 	if !g.cancels && o.t.effect == Retryable {
@@ -520,17 +510,37 @@
 
 // coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
 // worst-case capacity, taken from what warm servers take from this gateway on average: all gateways
-// together send those no more than they can do.
-func (g *Gateway) coldTakes(now time.Duration, s *server, work time.Duration) bool {
-	part := int64(now / g.coldPart)
-	sum, r := s.sent.sum(part), g.ramp(now-g.coldPart*parts, s)
-	if r < 1 && sum > 0 && sum+float64(work) > g.warm*r*g.coldMultiple*coldCaution {
+// together send those no more than they can do. The allowance starts below zero by chance, so that many
+// gateways that each send little do not all begin with one send.
+func (g *Gateway) coldTakes(now time.Duration, o *op, s *server) bool {
+	work, r := float64(o.t.usual()), g.ramp(now-g.overloadTime, s)
+	if o.work = 0; r >= 1 {
+		o.work = o.t.usual()
+		g.sentWarm += work
+		return true
+	}
+	if s.allowedAt < s.started {
+		s.allowed, s.allowedAt = -g.chance()*work, max(s.started, 0)
+	}
+	rate := g.warm * r * g.coldMultiple * coldCaution
+	s.allowed = min(s.allowed+rate*float64(now-s.allowedAt), rate*float64(g.overloadTime/unspent))
+	s.allowedAt = now
+	if s.allowed < 0 {
 		return false
 	}
-	s.sent.counts[part%parts] += work
+	s.allowed -= work
 	return true
 }
 
+// chance draws from 0 to 1; the same seed and the same events give the same draws.
+func (g *Gateway) chance() float64 {
+	var b [16]byte
+	g.draws++
+	binary.BigEndian.PutUint64(b[:], g.seed)
+	binary.BigEndian.PutUint64(b[8:], g.draws)
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
 // told takes in what a server says of itself: role and position, the evidence being as old as at.
 func (g *Gateway) told(s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
@@ -668,7 +678,8 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, cutAt: LongPast, heard: LongPast}
+			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, cutAt: LongPast, heard: LongPast,
+			allowedAt: LongPast, credit: -g.chance() * (1 - 1/g.gateways)} // gateways must not all begin at one server
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -706,11 +717,20 @@
 		g.askAt = now + g.askMax
 		g.host.WatchList()
 	}
-	warm, n := 0.0, 0.0
+	g.sentWarm *= math.Exp(-float64(now-g.timedAt) / float64(g.overloadTime))
+	g.timedAt = now
+	// Groups where nothing is held or out are looked at now and then only: a fleet may be large.
+	all, warm := now-g.walkedAt >= g.brief, 0.0
+	if all {
+		g.walkedAt = now
+	}
 	for _, gr := range g.listed {
+		if !all && gr.owed == 0 && len(gr.held) == 0 {
+			continue
+		}
 		for _, s := range gr.members {
-			if s.usable() && g.ramp(now, s) >= 1 {
-				warm, n = warm+s.sent.sum(int64(now/g.coldPart)), n+1
+			if s.usable() && g.ramp(now-g.overloadTime, s) >= 1 {
+				warm++
 			}
 			if s.silent(now) {
 				g.setAside(now, s)
@@ -736,7 +756,7 @@
 		}
 		g.wake(now, gr)
 	}
-	if n > 0 { // with no warm server left, what the last ones took still holds
-		g.warm = warm / n
+	if all && warm > 0 { // with no warm server left, what the last ones took still holds
+		g.warm = g.sentWarm / float64(g.overloadTime) / warm
 	}
 }
--- a/choice/host.go
+++ b/choice/host.go
@@ -77,6 +77,7 @@
 type Deployment struct {
 	OpTypes           []OpType
 	Gateways          int
+	Seed              uint64        // of this gateway's chance
 	Round             time.Duration // the least time between two events
 	ListAsked         bool          // the list comes only when asked for
 	AskWithin         time.Duration // unasked for this long, a gateway is deemed told
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -210,6 +210,7 @@
 	if err != nil {
 		return err
 	}
+	d.Seed = be.Uint64(b[3:])
 	x.gateways[who] = in
 	defer in.caught(&err)
 	in.gateway = choice.New(in, d)
