--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,6 +97,7 @@
 	mayHaveRun        bool          // a send may have run: the first such one
 	maybeAt           time.Duration // went out at this time
 	cancelled, missed bool          // the send that is out was called back; a replica turned this read away
+	asked             bool          // a replica was probed for its position
 	held, done        bool
 }
 
@@ -134,10 +135,11 @@
 }
 
 type group struct {
-	members []*server // in id order
-	primary *server   // the member with the newest evidence of being it
-	held    []*op     // most valuable first
-	owed    int       // sends out to members
+	members []*server     // in id order
+	primary *server       // the member with the newest evidence of being it
+	held    []*op         // most valuable first
+	owed    int           // sends out to members
+	heard   time.Duration // when a replica last told its position
 }
 
 // Gateway decides where every op of one gateway goes.
@@ -150,15 +152,15 @@
 	listed  []*group // in the order in which they were first named
 	waking  []*op    // reused
 
-	probing              float64       // probes that may be spent by now
-	tick, brief          time.Duration // between looks at the clock; the design's brief wait
-	checked, carried     bool          // replicas check reads; a session read tells its mark
-	probes, cancels      bool          // allowed
-	goneMayRun, steady   bool          // the list's word 'gone' proves nothing; only probes tell positions
-	maxSends, firstNeeds int           // sends for an op; probes that a server answers before it is used
-	writeValue           float64       // the highest of any write
-	tightest             time.Duration // the tightest bound of any op type
-	comeBack             time.Duration // the longest wait that a client honours; 0: none is told
+	probing               float64       // probes that may be spent by now
+	tick, brief           time.Duration // between looks at the clock; the design's brief wait
+	checked, carried      bool          // replicas check reads; a session read tells its mark
+	probes, cancels, asks bool          // allowed; allowed; probes tell positions
+	goneMayRun, steady    bool          // the list's word 'gone' proves nothing; only probes tell positions
+	maxSends, firstNeeds  int           // sends for an op; probes that a server answers before it is used
+	writeValue            float64       // the highest of any write
+	tightest              time.Duration // the tightest bound of any op type
+	comeBack              time.Duration // the longest wait that a client honours; 0: none is told
 
 	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
 
@@ -179,7 +181,7 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
+		asks: d.Probes && d.ReportsPosition, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
@@ -394,6 +396,14 @@
 	if s == nil && g.checked && !o.missed {
 		s = g.furthest(now, o.group, 1)
 	}
+	// Answers that come too seldom to tell a position in time are no reason to crowd the primary: each such read
+	// may ask one replica, the next in turn, while it is held.
+	if s == nil && g.asks && !g.checked && !o.asked && now < o.holdUntil && now-o.group.heard > o.holdUntil-now {
+		if r := g.rotate(now, o.group, LongPast); r != nil && r.nextProbe <= now {
+			o.asked, r.nextProbe = true, math.MaxInt64
+			g.host.Probe(r.id)
+		}
+	}
 	if s == nil && now >= o.holdUntil {
 		share := homeShare
 		if o.t.value >= g.writeValue {
@@ -544,6 +554,9 @@
 // told takes in what a server says of itself: role and position, the evidence being as old as at.
 func (g *Gateway) told(s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
+	if role == Replica {
+		s.group.heard = at
+	}
 	if role == Primary && pos != LongPast {
 		at = pos // a primary stands at the present, so its position dates the claim
 	}
@@ -638,6 +651,7 @@
 		return
 	}
 	s.nextProbe = now + max(s.wait, g.brief)
+	defer g.wake(now, s.group)
 	switch {
 	case result == NoConnection || result == Reset || result == TimedOut:
 		g.setAside(now, s)
