Pools of all primaries and of all replicas send a share of what is wanted

Cause at full size: a gateway sees each server once in seven seconds, so a limit in each server, which cannot go below one send, holds nothing back: 147 gateways together owe a primary more than it can do and everything comes late. Answers are now also pooled over all primaries and all replicas: later than half the latency target where the limit cannot shrink any more, the pool's share of the wanted work falls by a fifth, else it grows by 8%; the most valuable types go first, the rest by one chance drawn for each op. Guards against any overload of many servers that share a role. Harm: one slow group holds back the others a little.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	inUse        = 0.75 // a limit grows only while this share of it is used
 	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
 	retryLeft    = 4    // a marked retry has this part of its latency target left: busy replies come late
+	regain       = 1.08 // a pool's share grows so at a timely answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
 	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
@@ -67,6 +68,47 @@
 	return time.Duration(sum / float64(h.total))
 }
 
+// pool is what is known of all primaries together, or of all replicas: with many gateways a single server
+// answers too seldom to tell how it fares. share is the part of the work wanted there that is sent.
+type pool struct {
+	share float64
+	wants []float64 // work that was wanted of late, by op type
+	seen  int
+	bit   uint8 // marks the ops that were counted here
+}
+
+// heard moves the share: down at an answer later than half its latency target or none, up at others, so
+// that it stands still with one such answer in four.
+func (p *pool) heard(slow bool) {
+	if slow {
+		p.share *= cut
+	} else {
+		p.share = min(1, p.share*regain)
+	}
+}
+
+// takes tells whether an op falls into the share: the most valuable types first, then by the op's chance.
+func (g *Gateway) takes(p *pool, o *op) bool {
+	if bit := p.bit; o.wanted&bit == 0 {
+		o.wanted |= bit
+		p.wants[o.kind] += float64(o.t.usual())
+		if p.seen++; p.seen >= fullTurn {
+			p.seen /= 2
+			for i := range p.wants {
+				p.wants[i] /= 2
+			}
+		}
+	}
+	left, mine := 0.0, o.t.value/float64(o.t.usual())
+	for i, work := range p.wants {
+		left += p.share * work
+		if t := &g.types[i]; t != o.t && t.value/float64(t.usual()) > mine {
+			left -= work
+		}
+	}
+	return o.luck*p.wants[o.kind] <= left
+}
+
 type opType struct {
 	effect                         Effect
 	scope                          Scope
@@ -84,6 +126,8 @@
 type op struct {
 	id                uint32
 	t                 *opType
+	kind, wanted      uint8   // the type's number; the pools that counted it
+	luck              float64 // from 0 to 1: whether it falls into a pool's share
 	group             *group
 	session           uint64
 	mark              time.Duration // the position that a replica must have reached
@@ -164,6 +208,7 @@
 
 	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
 
+	home, spread           pool // of all primaries, of all replicas
 	gateways               float64
 	coldFrom, coldMultiple float64
 	coldTime, overloadTime time.Duration
@@ -199,6 +244,8 @@
 			g.writeValue = max(g.writeValue, t.Value)
 		}
 	}
+	g.home = pool{share: 1, wants: make([]float64, len(g.types)), bit: 1}
+	g.spread = pool{share: 1, wants: make([]float64, len(g.types)), bit: 2}
 	if d.Probes {
 		g.firstNeeds = 1
 	}
@@ -215,7 +262,7 @@
 func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	t := &g.types[kind]
-	o := &op{id: id, t: t, group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
+	o := &op{id: id, t: t, kind: kind, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: math.MaxInt64, holdUntil: now + t.target/holdShare}
 	// Clients give most tries the same part of the op timeout. One that gets another part has what its
 	// client has left since its first try; so that start is known, and what an answer can still earn.
@@ -384,27 +431,33 @@
 	switch {
 	case o.t.need == Write && !home.usable():
 		return g.scout(now, o)
-	case o.t.need == Write || o.t.need == Fresh:
+	case (o.t.need == Write || o.t.need == Fresh) && g.takes(&g.home, o):
 		return home.room(now, 1)
+	case o.t.need == Write || o.t.need == Fresh:
+		return nil
 	}
 	// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
 	// reads share the replica that is furthest behind, so that the others stay fresh.
-	if o.t.need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
+	takes := g.takes(&g.spread, o)
+	if takes && o.t.need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
 		return g.furthest(now, o.group, -1).room(now, 1)
 	}
-	s := g.rotate(now, o.group, o.want(now))
-	if s == nil && g.checked && !o.missed {
+	var s *server
+	if takes {
+		s = g.rotate(now, o.group, o.want(now))
+	}
+	if s == nil && takes && g.checked && !o.missed {
 		s = g.furthest(now, o.group, 1)
 	}
 	// Answers that come too seldom to tell a position in time are no reason to crowd the primary: each such read
 	// may ask one replica, the next in turn, while it is held.
-	if s == nil && g.asks && !g.checked && !o.asked && now < o.holdUntil && now-o.group.heard > o.holdUntil-now {
+	if s == nil && takes && g.asks && !g.checked && !o.asked && now < o.holdUntil && now-o.group.heard > o.holdUntil-now {
 		if r := g.rotate(now, o.group, LongPast); r != nil && r.nextProbe <= now {
 			o.asked, r.nextProbe = true, math.MaxInt64
 			g.host.Probe(r.id)
 		}
 	}
-	if s == nil && now >= o.holdUntil {
+	if s == nil && now >= o.holdUntil && g.takes(&g.home, o) {
 		share := homeShare
 		if o.t.value >= g.writeValue {
 			share = 1
@@ -587,6 +640,13 @@
 
 // judge draws from one result what it says of a server's health and of how much it takes.
 func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
+	p := &g.spread
+	if s == s.group.primary {
+		p = &g.home
+	}
+	if result == Acked || result == ServerFull || result == TimedOut {
+		p.heard(took > o.t.target/2 && s.limit <= 1 || result == ServerFull && s.limit <= 1)
+	}
 	switch result {
 	case Acked:
 		s.heard, s.wait = now, 0
