Where replicas check reads, take each to be as far behind as it last was

Cause: with many gateways the last word of every replica is older than the bound, so each gateway stayed with the one replica that had answered last and the load fell unevenly. A checking replica enforces rule 5 itself, so its last lag may stand for the present one, and reads rotate over all that keep up. Harm: a replica that has fallen behind since costs a miss.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -165,6 +165,7 @@
 	role      Role
 	roleAt    time.Duration // how new the newest evidence of the role is
 	pos       time.Duration // the newest position told; it never goes back
+	behind    time.Duration // how far it was behind the present then
 	owed      []*op         // sends out, oldest first
 	heard     time.Duration // its newest sign of life in answer to a send
 	limit     float64       // sends that it may owe
@@ -320,7 +321,7 @@
 	took time.Duration, final bool, role Role, pos time.Duration) {
 	s, o := g.servers[at], g.ops[id]
 	if s != nil {
-		g.told(s, role, pos, now)
+		g.told(now, s, role, pos, now)
 	}
 	if o == nil || o.at == nil || int(send) != o.sends-1 {
 		return
@@ -487,6 +488,16 @@
 	return s
 }
 
+// reached is the position that a server is taken to have reached: what it told, where nothing else keeps
+// rule 5; where replicas check reads themselves, as far behind the present as it last was, since with many
+// gateways the last word of each replica is old.
+func (g *Gateway) reached(now time.Duration, s *server) time.Duration {
+	if g.checked {
+		return now - s.behind
+	}
+	return s.pos
+}
+
 // rotate takes the next replica in turn whose position reaches want, passing over those with overdue
 // answers while there are others. A cold one gets turns as its ramp allows.
 func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) *server {
@@ -494,7 +505,7 @@
 		var best *server
 		total := 0.0
 		for _, s := range gr.members {
-			if s == gr.primary || s.pos < want || s.room(now, 1) == nil || !overdueToo && s.overdue(now) {
+			if s == gr.primary || g.reached(now, s) < want || s.room(now, 1) == nil || !overdueToo && s.overdue(now) {
 				continue
 			}
 			w := s.weight * g.ramp(now, s)
@@ -516,7 +527,7 @@
 func (g *Gateway) furthest(now time.Duration, gr *group, way time.Duration) (best *server) {
 	for _, s := range gr.members {
 		fits := way > 0 && s.room(now, 1) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
-		if s != gr.primary && fits && (best == nil || (s.pos-best.pos)*way > 0) {
+		if s != gr.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
 			best = s
 		}
 	}
@@ -605,8 +616,9 @@
 }
 
 // told takes in what a server says of itself: role and position, the evidence being as old as at.
-func (g *Gateway) told(s *server, role Role, pos, at time.Duration) {
+func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
+	s.behind = now - s.pos
 	if role == Replica {
 		s.group.heard = at
 	}
@@ -634,7 +646,7 @@
 		if pos == LongPast {
 			at = now
 		}
-		g.told(s, role, pos, at)
+		g.told(now, s, role, pos, at)
 	}
 }
 
@@ -772,7 +784,7 @@
 	}
 	// The list is late: its word on roles counts only where the server has not spoken itself.
 	if l.Primary && s.roleAt == LongPast {
-		g.told(s, Primary, LongPast, LongPast)
+		g.told(now, s, Primary, LongPast, LongPast)
 	}
 }
 
