Pass a server over for a while before setting it aside, and never more than half of a group

Cause: one reset or failed connection set a server aside until two probes were answered. Now the first trouble passes a server over for a time that doubles, a second in a row sets it aside, a primary that cannot be reached is tried again, and at most half of a group is set aside, as load balancers cap ejection. Harm: where more than half of a group is really dead, its reads wait for the pauses.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -176,7 +176,8 @@
 	allowedAt time.Duration
 	needs     int           // probes that it must answer before it is used, at first or after being set aside
 	nextProbe time.Duration // never while one is out
-	wait      time.Duration // between probes while set aside
+	wait      time.Duration // for which it was last passed over; 0 once it has acked
+	shunned   time.Duration // passed over until then
 }
 
 type group struct {
@@ -430,7 +431,7 @@
 func (g *Gateway) choose(now time.Duration, o *op) *server {
 	home := o.group.primary
 	switch {
-	case o.t.need == Write && !home.usable():
+	case o.t.need == Write && (!home.usable() || home.wait > g.brief):
 		return g.scout(now, o)
 	case (o.t.need == Write || o.t.need == Fresh) && g.takes(&g.home, o):
 		return home.room(now, 1)
@@ -473,7 +474,7 @@
 // room returns the server if it is usable and owes less than a share of what it takes. Sends whose answers
 // must have been lost do not count: a server that loses some is not shut for the others.
 func (s *server) room(now time.Duration, share float64) *server {
-	if !s.usable() {
+	if !s.usable() || now < s.shunned {
 		return nil
 	}
 	owes := 0.0
@@ -539,9 +540,9 @@
 // that an op has is kept for the primary once it is known.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
-		if o.sends < g.maxSends-1 && s.usable() && !s.overdue(now) &&
+		if o.sends < g.maxSends-1 && s.room(now, 1) != nil && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
-			return s.room(now, 1)
+			return s
 		}
 	}
 	return nil
@@ -676,27 +677,39 @@
 	case ServerError:
 		s.heard, s.bad = now, s.bad+1
 	case NoConnection, Reset:
-		g.setAside(now, s)
+		g.doubt(now, s, false)
 	}
 	// A server that mostly refuses or fails does so quickly and would draw ever more ops. A primary that
 	// fails some is still the only one for writes.
 	if s.bad > 2 && s.bad > s.good && (result == ServerFull || result == ServerError && s != s.group.primary) {
-		g.setAside(now, s)
+		g.doubt(now, s, true)
 	}
 	if s.bad+s.good >= fullTurn/4 {
 		s.bad, s.good = s.bad/2, s.good/2
 	}
 }
 
-// setAside takes a server out of use until it has answered probes; each failed return doubles the wait.
-func (g *Gateway) setAside(now time.Duration, s *server) {
-	if s.needs > 0 || !g.probes {
+// doubt passes a server over, twice as long for each trouble since it last acked. At a second one in a row,
+// or where it is sure, the server is set aside until it has answered probes. A primary that cannot be
+// reached is tried again, as writes have no other place; and at most half of a group is set aside, as a
+// gateway that finds more than that in trouble is more likely in trouble itself.
+func (g *Gateway) doubt(now time.Duration, s *server, sure bool) {
+	if now < s.shunned || s.needs > 0 {
 		return
 	}
-	s.needs, s.cutAt = answered, now
+	sure = sure || s.wait > 0 && s != s.group.primary
 	s.wait = min(max(2*s.wait, g.brief/4), 32*g.brief)
-	s.nextProbe = now + s.wait
-	g.host.Log("server set aside")
+	s.shunned = now + s.wait
+	aside := 1
+	for _, m := range s.group.members {
+		if m.needs > 0 && m.wait > 0 {
+			aside++
+		}
+	}
+	if g.probes && sure && 2*aside <= len(s.group.members) {
+		s.needs, s.cutAt, s.nextProbe = answered, now, s.shunned
+		g.host.Log("server set aside")
+	}
 }
 
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
@@ -722,18 +735,19 @@
 	if s == nil {
 		return
 	}
-	s.nextProbe = now + max(s.wait, g.brief)
 	defer g.wake(now, s.group)
-	switch {
-	case result == NoConnection || result == Reset || result == TimedOut:
-		g.setAside(now, s)
-		s.needs = answered
+	switch unheard := result == NoConnection || result == Reset || result == TimedOut; {
+	case unheard && s.needs == 0:
+		g.doubt(now, s, false)
+	case unheard:
+		s.wait, s.needs = min(max(2*s.wait, g.brief/4), 32*g.brief), answered
 	case s.needs > 0: // an error is an answer too: probes may fail at servers that serve
 		s.needs, s.bad, s.good = s.needs-1, 0, 0
 		if s.wait > 0 && s.heard < s.cutAt {
 			s.limit = 1 // it has answered no op since it was set aside
 		}
 	}
+	s.nextProbe = now + max(s.wait, g.brief)
 }
 
 // List is called with the server list as the host last held it, in full, or with changes to it.
@@ -771,7 +785,7 @@
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
 	if l.State == Gone && g.goneMayRun && s.state == Ready {
-		g.setAside(now, s)
+		g.doubt(now, s, true)
 		return
 	}
 	again := s.started != l.Started // it has started again: what was known of it holds no more
@@ -819,7 +833,7 @@
 				warm++
 			}
 			if s.silent(now) {
-				g.setAside(now, s)
+				g.doubt(now, s, true)
 				// Reads that a silent replica owes go to others in time. Writes stay out: only this server
 				// could say how they ended.
 				for _, o := range s.owed {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -222,6 +222,7 @@
 
 func TestDeadPrimaryHoldsWritesUntilAnotherClaims(t *testing.T) {
 	g, h := start(nil)
+	g.servers[1].wait = g.brief // it has failed several times in a row
 	do(g, 100*ms, 1, writeOnce)
 	g.Answer(110*ms, 1, 0, 1, NoConnection, 10*ms, false, RoleUnknown, LongPast)
 	want(t, h, "send 1 to 1", "send 1 to 2") // known not to have run, so another member is tried
@@ -388,7 +389,7 @@
 // against servers kept out by probes that fail while ops are served (capitol-assessor-later big-1).
 func TestProbesOfServersSetAsideAreRationedAndErrorsCount(t *testing.T) {
 	g, h := start(nil)
-	g.setAside(0, g.servers[2])
+	g.doubt(0, g.servers[2], true)
 	g.Timer(50*ms, 0)
 	want(t, h) // no op has come in that could pay for a probe
 	g.probing = 2
@@ -401,3 +402,20 @@
 		t.Errorf("usable %v with %v probes left, want true and 0", g.servers[2].usable(), g.probing)
 	}
 }
+
+// Guards against a gateway that gives up most servers because its own way to them is bad (sofia-games-later big-2),
+// or because all of them fail alike (waco-main-later ie9275f).
+func TestAtMostHalfOfAGroupIsSetAside(t *testing.T) {
+	g, _ := start(nil)
+	for now := range time.Duration(200) {
+		for _, id := range []uint32{1, 2, 3} {
+			g.judge(now*ms, g.servers[id], &op{t: &g.types[anyRead]}, NoConnection, ms)
+		}
+	}
+	if n := g.servers[1].needs + g.servers[2].needs + g.servers[3].needs; n != answered {
+		t.Errorf("probes needed over all members: %d, want %d", n, answered)
+	}
+	if g.servers[1].needs > 0 {
+		t.Error("the primary was set aside, want it passed over for a while only")
+	}
+}
