A gateway's own pause restarts its waits and tells nothing of servers

Cause: a gateway that stands still for a second finds all waits long and all answers late at once, and took that for silent servers: timers come every tick, so a longer gap is its own. Waits begin anew after such a gap, answers found at its end are not timed, and a try that came meanwhile is dated by its client's usual share of the op timeout. Also guards against a stopped or starved process and a clock that jumps ahead. Harm: a server that went silent within the gap is found a little later.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	inUse        = 0.75 // a limit grows only while this share of it is used
 	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
 	retryLeft    = 4    // a marked retry has this part of its latency target left: busy replies come late
+	pause        = 8    // ticks without a timer that show that the gateway itself stood still
 	regain       = 1.08 // a pool's share grows so at a timely answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
@@ -137,6 +138,7 @@
 	sends             int
 	at                *server       // where a send is out, or nil
 	sentAt            time.Duration // when the newest send went out
+	waitFrom          time.Duration // the same, or the end of this gateway's own last pause
 	work              time.Duration // that it was taken to bring, if to a warm server
 	mayHaveRun        bool          // a send may have run: the first such one
 	maybeAt           time.Duration // went out at this time
@@ -146,7 +148,7 @@
 }
 
 // lost tells whether no answer to the send that is out can be expected any more.
-func (o *op) lost(now time.Duration) bool { return now-o.sentAt > 2*silentAfter*o.t.usual() }
+func (o *op) lost(now time.Duration) bool { return now-o.waitFrom > 2*silentAfter*o.t.usual() }
 
 // want is the position that a replica must have reached for this op.
 func (o *op) want(now time.Duration) time.Duration {
@@ -216,6 +218,7 @@
 	coldTime, overloadTime time.Duration
 	sentWarm, warm         float64       // work sent to warm servers of late; what one of them is sent in a unit of time
 	timedAt, walkedAt      time.Duration // the last timer; the last that walked all groups
+	pausedAt               time.Duration // when this gateway last found that it had stood still
 	seed, draws            uint64
 
 	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
@@ -263,6 +266,7 @@
 // Op is called when a client's op comes in. wroteAgo is 0 where the session's last write is not told.
 func (g *Gateway) Op(now time.Duration, id uint32, kind uint8, session uint64, due time.Duration,
 	inGroup uint16, wroteAgo time.Duration, again bool) {
+	g.mind(now)
 	t := &g.types[kind]
 	o := &op{id: id, t: t, kind: kind, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: math.MaxInt64, holdUntil: now + t.target/holdShare}
@@ -271,6 +275,8 @@
 	switch share := float64(due-now) / float64(max(t.timeout, 1)); {
 	case math.Abs(share-t.tryShare) < sameShare:
 		t.votes = min(t.votes+1, fullTurn)
+	case now == g.pausedAt && share < t.tryShare: // it came while this gateway stood still
+		o.targetAt = due - time.Duration(t.tryShare*float64(t.timeout)) + t.target
 	case t.votes == 0:
 		t.tryShare, t.votes = share, 1
 	default:
@@ -320,6 +326,7 @@
 // Answer is called once for each send, when it has ended.
 func (g *Gateway) Answer(now time.Duration, id uint32, send uint8, at uint32, result Result,
 	took time.Duration, final bool, role Role, pos time.Duration) {
+	g.mind(now)
 	s, o := g.servers[at], g.ops[id]
 	if s != nil {
 		g.told(now, s, role, pos, now)
@@ -350,6 +357,17 @@
 	g.wake(now, s.group)
 }
 
+// mind notices that the gateway itself has stood still: timers come every tick. What it then finds at once
+// says nothing of the servers, so their waits begin anew.
+func (g *Gateway) mind(now time.Duration) {
+	if now-g.timedAt > pause*g.tick && now > g.pausedAt {
+		g.pausedAt = now
+		for _, o := range g.ops {
+			o.waitFrom = now
+		}
+	}
+}
+
 // ClientGone is called when a client has left; no answer is owed any more.
 func (g *Gateway) ClientGone(now time.Duration, id uint32) {
 	if o := g.ops[id]; o != nil {
@@ -566,7 +584,7 @@
 		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
-	o.at, o.sentAt, o.cancelled = s, now, false
+	o.at, o.sentAt, o.waitFrom, o.cancelled = s, now, now, false
 	o.sends++
 	s.group.owed++
 	s.owed = append(s.owed, o)
@@ -657,13 +675,17 @@
 	if s == s.group.primary {
 		p = &g.home
 	}
-	if result == Acked || result == ServerFull || result == TimedOut {
+	late := now == g.pausedAt // how late, nobody knows
+	if !late && (result == Acked || result == ServerFull || result == TimedOut) {
 		p.heard(took > o.t.target/2 && s.limit <= 1 || result == ServerFull && s.limit <= 1)
 	}
 	switch result {
 	case Acked:
 		s.heard, s.wait = now, 0
 		s.good++
+		if late {
+			break
+		}
 		o.t.took.add(took, o.t.target)
 		if slow := took > o.t.target/fullShare; slow && now-s.cutAt > took {
 			s.limit, s.cutAt = max(s.limit*cut, 1), now
@@ -714,7 +736,7 @@
 
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
-	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.sentAt > overdueAfter*o.t.usual() })
+	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
 }
 
 // silent tells whether a server that owes answers has been quiet for longer than chance explains:
@@ -722,7 +744,7 @@
 func (s *server) silent(now time.Duration) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
-		if wait := float64(now-max(o.sentAt, s.heard)) / float64(o.t.usual()); !o.lost(now) {
+		if wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual()); !o.lost(now) {
 			sum, longest = sum+wait, max(longest, wait)
 		}
 	}
@@ -812,6 +834,7 @@
 
 // Timer is called when a timer that the gateway set has come due.
 func (g *Gateway) Timer(now time.Duration, id uint32) {
+	g.mind(now)
 	g.host.Timer(0, now+g.tick)
 	if g.askAt > 0 && now >= g.askAt {
 		g.askAt = now + g.askMax
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -67,7 +67,9 @@
 	h.lines = nil
 }
 
+// do hands in an op of a client that waits for two seconds, at a gateway whose timers run.
 func do(g *Gateway, now time.Duration, id uint32, kind uint8) {
+	g.timedAt = now
 	g.Op(now, id, kind, 0, now+2*time.Second, 0, 0, false)
 }
 
@@ -154,7 +156,7 @@
 	do(g, 0, 1, writeOnce)
 	do(g, 100*ms, 2, writeOnce)
 	want(t, h, "send 1 to 1")
-	g.servers[1].heard = 1190 * ms
+	g.servers[1].heard, g.timedAt = 1190*ms, 1205*ms
 	g.Timer(1210*ms, 0) // twelve times a quarter of the latency target
 	want(t, h, "send 2 to 1")
 }
@@ -213,7 +215,9 @@
 		g.Op(0, id, anyRead, 0, 6*time.Second, 0, 0, false)
 	}
 	want(t, h, "send 1 to 2", "send 2 to 3", "send 3 to 2")
+	g.timedAt = 1395 * ms
 	g.Answer(1400*ms, 2, 0, 3, Acked, 1400*ms, true, Replica, 1300*ms)
+	g.timedAt = 1505 * ms
 	g.Timer(1510*ms, 0) // two waits of three usual answer times each
 	want(t, h, "cancel 1.0", "cancel 3.0")
 	g.Answer(1515*ms, 1, 0, 2, Cancelled, 1515*ms, false, RoleUnknown, LongPast)
@@ -419,3 +423,17 @@
 		t.Error("the primary was set aside, want it passed over for a while only")
 	}
 }
+
+// Guards against a gateway that stands still and takes its own pause for the servers' silence (sofia-games-later big-1).
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	g, h := start(nil)
+	g.Timer(5*ms, 0)
+	do(g, 5*ms, 1, writeOnce)
+	g.Timer(1500*ms, 0) // late by fifteen usual answer times
+	g.Timer(1505*ms, 0)
+	if s := g.servers[1]; !s.usable() || s.overdue(1505*ms) {
+		t.Error("a pause of the gateway itself was taken for a silent primary")
+	}
+	g.Op(1505*ms, 2, writeOnce, 0, 1600*ms, 0, 0, false)
+	want(t, h, "send 1 to 1", "busy 2")
+}
