Leave no unused connection open where servers turn connections away

After such a refusal, with no reset of late, a gateway closes its idle connection after each answer for a while. Also guards against any cap on connections. Harm: handshakes after a crash that refuses at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	inUse        = 0.75 // a limit grows only while this share of it is used
 	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
 	retryLeft    = 4    // a marked retry has this part of its latency target left: busy replies come late
+	scarce       = 128  // brief waits for which trouble with connections is taken to last
 	pause        = 8    // ticks without a timer that show that the gateway itself stood still
 	regain       = 1.08 // a pool's share grows so at a timely answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
@@ -212,7 +213,8 @@
 
 	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
 
-	home, spread           pool // of all primaries, of all replicas
+	crowded, resetAt       time.Duration // until when connections are taken to be scarce; the last reset
+	home, spread           pool          // of all primaries, of all replicas
 	gateways               float64
 	coldFrom, coldMultiple float64
 	coldTime, overloadTime time.Duration
@@ -234,7 +236,7 @@
 		asks: d.Probes && d.ReportsPosition, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
-		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
+		overloadTime: max(1, d.OverloadTime), crowded: LongPast, resetAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
@@ -339,6 +341,7 @@
 	if result == Acked && o.t.need == Write && pos != LongPast {
 		g.remember(o.session, pos)
 	}
+	g.connected(now, s, result, took)
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
 	if !neverRan && !o.mayHaveRun {
 		o.mayHaveRun, o.maybeAt = true, o.sentAt
@@ -357,6 +360,20 @@
 	g.wake(now, s.group)
 }
 
+// connected leaves connections to others. Where one is turned away at once, and none was reset of late, servers
+// take no more of them: for a while this gateway leaves none open that it does not use.
+func (g *Gateway) connected(now time.Duration, s *server, result Result, took time.Duration) {
+	switch {
+	case result == Reset: // a bad way or a dead process, no lack of connections
+		g.resetAt, g.crowded = now, LongPast
+	case result == NoConnection && took < g.brief && now-g.resetAt > scarce*g.brief:
+		g.crowded = now + scarce*g.brief
+	}
+	if now < g.crowded && len(s.owed) == 0 {
+		g.host.CloseIdle(s.id)
+	}
+}
+
 // mind notices that the gateway itself has stood still: timers come every tick. What it then finds at once
 // says nothing of the servers, so their waits begin anew.
 func (g *Gateway) mind(now time.Duration) {
