--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,45 +71,14 @@
 }
 
 // pool is what is known of all primaries together, or of all replicas: with many gateways a single server
-// answers too seldom to tell how it fares. share is the part of the work wanted there that is sent.
+// answers too seldom to tell how it fares.
 type pool struct {
-	share float64
-	wants []float64 // work that was wanted of late, by op type
-	seen  int
-	bit   uint8 // marks the ops that were counted here
+	share float64 // of the work wanted there that is sent
+	worth float64 // the value for each unit of time that it earns, on average
 }
 
-// heard moves the share: down at an answer later than half its latency target or none, up at others, so
-// that it stands still with one such answer in four.
-func (p *pool) heard(slow bool) {
-	if slow {
-		p.share *= cut
-	} else {
-		p.share = min(1, p.share*regain)
-	}
-}
-
-// takes tells whether an op falls into the share: the most valuable types first, then by the op's chance.
-func (g *Gateway) takes(p *pool, o *op) bool {
-	if bit := p.bit; o.wanted&bit == 0 {
-		o.wanted |= bit
-		p.wants[o.kind] += float64(o.t.usual())
-		if p.seen++; p.seen >= fullTurn {
-			p.seen /= 2
-			for i := range p.wants {
-				p.wants[i] /= 2
-			}
-		}
-	}
-	left, mine := 0.0, o.t.value/float64(o.t.usual())
-	for i, work := range p.wants {
-		left += p.share * work
-		if t := &g.types[i]; t != o.t && t.value/float64(t.usual()) > mine {
-			left -= work
-		}
-	}
-	return o.luck*p.wants[o.kind] <= left
-}
+// takes tells whether an op falls into the share, by its chance: the more valuable, the more likely.
+func (p *pool) takes(o *op) bool { return o.luck <= math.Pow(p.share, p.worth/o.t.worth()) }
 
 type opType struct {
 	effect                         Effect
@@ -122,13 +91,15 @@
 	took                           histogram // answer times as parts of the latency target
 }
 
+// worth is its value for each unit of a server's time.
+func (t *opType) worth() float64 { return t.value / float64(t.usual()) }
+
 // usual is what an answer to this type takes these days.
 func (t *opType) usual() time.Duration { return t.took.mean(t.target) }
 
 type op struct {
 	id                uint32
 	t                 *opType
-	kind, wanted      uint8   // the type's number; the pools that counted it
 	luck              float64 // from 0 to 1: whether it falls into a pool's share
 	group             *group
 	session           uint64
@@ -237,7 +208,7 @@
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		overloadTime: max(1, d.OverloadTime), crowded: LongPast, resetAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
-		marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
+		home: pool{share: 1}, spread: pool{share: 1}, marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
@@ -251,8 +222,6 @@
 			g.writeValue = max(g.writeValue, t.Value)
 		}
 	}
-	g.home = pool{share: 1, wants: make([]float64, len(g.types)), bit: 1}
-	g.spread = pool{share: 1, wants: make([]float64, len(g.types)), bit: 2}
 	if d.Probes {
 		g.firstNeeds = 1
 	}
@@ -270,7 +239,7 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	g.mind(now)
 	t := &g.types[kind]
-	o := &op{id: id, t: t, kind: kind, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
+	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
 		mark: math.MaxInt64, holdUntil: now + t.target/holdShare}
 	// Clients give most tries the same part of the op timeout. One that gets another part has what its
 	// client has left since its first try; so that start is known, and what an answer can still earn.
@@ -438,7 +407,7 @@
 	if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
 	} else if !o.held {
-		o.held, o.worth = true, o.t.value/float64(o.t.usual())
+		o.held, o.worth = true, o.t.worth()
 		if now > o.targetAt {
 			o.worth *= o.t.late
 		}
@@ -468,14 +437,14 @@
 	switch {
 	case o.t.need == Write && (!home.usable() || home.wait > g.brief):
 		return g.scout(now, o)
-	case (o.t.need == Write || o.t.need == Fresh) && g.takes(&g.home, o):
+	case (o.t.need == Write || o.t.need == Fresh) && g.home.takes(o):
 		return home.room(now, 1)
 	case o.t.need == Write || o.t.need == Fresh:
 		return nil
 	}
 	// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
 	// reads share the replica that is furthest behind, so that the others stay fresh.
-	takes := g.takes(&g.spread, o)
+	takes := g.spread.takes(o)
 	if takes && o.t.need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
 		return g.furthest(now, o.group, -1).room(now, 1)
 	}
@@ -494,7 +463,7 @@
 			g.host.Probe(r.id)
 		}
 	}
-	if s == nil && now >= o.holdUntil && g.takes(&g.home, o) {
+	if s == nil && now >= o.holdUntil && g.home.takes(o) {
 		share := homeShare
 		if o.t.value >= g.writeValue {
 			share = 1
@@ -694,7 +663,14 @@
 	}
 	late := now == g.pausedAt // how late, nobody knows
 	if !late && (result == Acked || result == ServerFull || result == TimedOut) {
-		p.heard(took > o.t.target/2 && s.limit <= 1 || result == ServerFull && s.limit <= 1)
+		p.worth += (o.t.worth() - p.worth) / fullTurn
+		// The share stands still with one answer in four later than half its latency target, or none. Where a
+		// limit can still shrink, that is left to it.
+		if s.limit <= 1 && (took > o.t.target/2 || result == ServerFull) {
+			p.share *= cut
+		} else {
+			p.share = min(1, p.share*regain)
+		}
 	}
 	switch result {
 	case Acked:
