--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,7 +145,6 @@
 	limit     float64       // sends that it may owe
 	cutAt     time.Duration // when the limit last shrank
 	credit    float64       // in the rotation
-	bad, good int           // answers that were errors or refusals, and acks; both halved now and then
 	allowed   float64       // work that it may be sent while cold; below 0 it has had more
 	allowedAt time.Duration
 	needs     int           // probes that it must answer before it is used, at first or after being set aside
@@ -675,7 +674,6 @@
 	switch result {
 	case Acked:
 		s.heard, s.wait = now, 0
-		s.good++
 		if late {
 			break
 		}
@@ -688,20 +686,16 @@
 	case Miss:
 		s.heard = now
 	case ServerFull:
-		s.heard, s.bad, s.limit = now, s.bad+1, max(1, min(s.limit, float64(len(s.owed)))*cut)
+		s.heard, s.limit = now, max(1, min(s.limit, float64(len(s.owed)))*cut)
+		g.doubt(now, s, false)
 	case ServerError:
-		s.heard, s.bad = now, s.bad+1
+		s.heard = now
+		if s != s.group.primary { // which is the only one for writes, although it fails some
+			g.doubt(now, s, false)
+		}
 	case NoConnection, Reset:
 		g.doubt(now, s, false)
 	}
-	// A server that mostly refuses or fails does so quickly and would draw ever more ops. A primary that
-	// fails some is still the only one for writes.
-	if s.bad > 2 && s.bad > s.good && (result == ServerFull || result == ServerError && s != s.group.primary) {
-		g.doubt(now, s, true)
-	}
-	if s.bad+s.good >= fullTurn/4 {
-		s.bad, s.good = s.bad/2, s.good/2
-	}
 }
 
 // doubt passes a server over, twice as long for each trouble since it last acked. At a second one in a row,
@@ -757,7 +751,7 @@
 	case unheard:
 		s.wait, s.needs = min(max(2*s.wait, g.brief/4), 32*g.brief), answered
 	case s.needs > 0: // an error is an answer too: probes may fail at servers that serve
-		s.needs, s.bad, s.good = s.needs-1, 0, 0
+		s.needs--
 		if s.wait > 0 && s.heard < s.cutAt {
 			s.limit = 1 // it has answered no op since it was set aside
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -187,15 +187,16 @@
 	}
 }
 
-// Guards against a server that turns all away at once and draws every op (sofia-games i5bf989).
-func TestRefusingServerIsSetAsideUntilProbed(t *testing.T) {
+// Guards against a server that turns all away or fails quickly and draws every op (sofia-games i5bf989): at the second
+// such answer in a row it is set aside, but no primary for errors, and probes bring it back.
+func TestFailingServerIsSetAsideUntilProbed(t *testing.T) {
 	g, h := start(nil)
-	s := g.servers[2]
-	for id := uint32(1); id <= 3; id++ {
-		s.bad = int(id) - 1
-		o := &op{id: id, t: &g.types[anyRead], group: s.group, sends: 1, at: s, done: true}
-		g.ops[id], s.owed = o, []*op{o}
-		g.Answer(100*ms, id, 0, 2, ServerFull, ms, false, Replica, 90*ms)
+	for id, result := range map[uint32]Result{1: ServerError, 2: ServerFull} {
+		g.judge(0, g.servers[id], &op{t: &g.types[anyRead]}, result, ms)
+		g.judge(50*ms, g.servers[id], &op{t: &g.types[anyRead]}, result, ms)
+	}
+	if g.servers[1].needs != 0 || g.servers[2].needs != answered {
+		t.Errorf("probes needed: primary %d, replica %d", g.servers[1].needs, g.servers[2].needs)
 	}
 	g.spread.share = 1
 	do(g, 101*ms, 9, anyRead)
@@ -319,18 +320,6 @@
 	want(t, h, "busy 1")
 }
 
-func TestReplicaThatFailsMostOpsIsSetAsideButNoPrimary(t *testing.T) {
-	g, _ := start(nil)
-	for _, id := range []uint32{1, 2} {
-		s := g.servers[id]
-		s.bad, s.good = 3, 2
-		g.judge(100*ms, s, &op{t: &g.types[anyRead]}, ServerError, ms)
-	}
-	if g.servers[1].needs != 0 || g.servers[2].needs != answered {
-		t.Errorf("probes needed: primary %d, replica %d", g.servers[1].needs, g.servers[2].needs)
-	}
-}
-
 // Slow machines, busy neighbours and bursts look alike: answers come late, and the server may owe less.
 func TestLateAnswersShrinkTheLimitOncePerRound(t *testing.T) {
 	g, _ := start(nil)
