--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,10 +19,8 @@
 // The few constants are ratios, so that they fit any deployment.
 const (
 	holdShare    = 4    // the design holds a session read for this part of its latency target
-	homeShare    = 0.5  // reads worth less than a write may fill this share of what a primary takes
 	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
-	inUse        = 0.75 // a limit grows only while this share of it is used
 	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
 	retryLeft    = 4    // a marked retry has this part of its latency target left: busy replies come late
 	scarce       = 128  // brief waits for which trouble with connections is taken to last
@@ -81,76 +79,64 @@
 func (p *pool) takes(o *op) bool { return o.luck <= math.Pow(p.share, p.worth/o.t.worth()) }
 
 type opType struct {
-	effect                         Effect
-	scope                          Scope
-	need                           Need
-	window, bound, target, timeout time.Duration
-	value, late                    float64   // late: the share of the value that is left past the latency target
-	tryShare                       float64   // the share of the op timeout that most tries are given
-	votes                          int       // how often that was seen, less other shares
-	took                           histogram // answer times as parts of the latency target
+	OpType
+	tryShare float64   // the share of the op timeout that most tries are given
+	votes    int       // how often that was seen, less other shares
+	took     histogram // answer times as parts of the latency target
 }
 
 // worth is its value for each unit of a server's time.
-func (t *opType) worth() float64 { return t.value / float64(t.usual()) }
+func (t *opType) worth() float64 { return t.Value / float64(t.usual()) }
 
 // usual is what an answer to this type takes these days.
-func (t *opType) usual() time.Duration { return t.took.mean(t.target) }
+func (t *opType) usual() time.Duration { return t.took.mean(t.Target) }
 
 type op struct {
-	id                uint32
-	t                 *opType
-	luck              float64 // from 0 to 1: whether it falls into a pool's share
-	group             *group
-	session           uint64
-	mark              time.Duration // the position that a replica must have reached
-	targetAt          time.Duration // when its latency target passes, counted from the client's first try
-	due, holdUntil    time.Duration
-	worth             float64 // value for each unit of a server's time, while held
-	sends             int
-	at                *server       // where a send is out, or nil
-	sentAt            time.Duration // when the newest send went out
-	waitFrom          time.Duration // the same, or the end of this gateway's own last pause
-	work              time.Duration // that it was taken to bring, if to a warm server
-	mayHaveRun        bool          // a send may have run: the first such one
-	maybeAt           time.Duration // went out at this time
-	cancelled, missed bool          // the send that is out was called back; a replica turned this read away
-	asked             bool          // a replica was probed for its position
-	held, done        bool
-}
-
-// lost tells whether no answer to the send that is out can be expected any more.
-func (o *op) lost(now time.Duration) bool { return now-o.waitFrom > 2*silentAfter*o.t.usual() }
+	id               uint32
+	t                *opType
+	group            *group
+	session          uint64
+	luck, worth      float64       // whether it falls into a pool's share; value for a unit of time
+	mark             time.Duration // the position that a replica must have reached
+	targetAt         time.Duration // when its latency target passes, counted from the client's first try
+	holdUntil, due   time.Duration // for a replica, then it may go home; its client leaves
+	at               *server       // where a send is out, or nil
+	sends            int
+	sentAt, waitFrom time.Duration // the newest send; the same or the end of this gateway's own pause
+	maybeAt          time.Duration // the first send that may have run; LongPast: none may have
+	work             time.Duration // that the newest was taken to bring, if to a warm server
+	held, done       bool
+	missed, asked    bool // a replica turned it away; was probed for it
+}
 
 // want is the position that a replica must have reached for this op.
 func (o *op) want(now time.Duration) time.Duration {
-	if o.t.need == Bounded {
-		return now - o.t.bound
+	if o.t.Need == Bounded {
+		return now - o.t.Bound
 	}
 	return o.mark
 }
 
 type server struct {
-	id        uint32
-	group     *group
-	weight    float64
-	started   time.Duration
-	state     State
-	role      Role
-	roleAt    time.Duration // how new the newest evidence of the role is
-	pos       time.Duration // the newest position told; it never goes back
-	behind    time.Duration // how far it was behind the present then
-	owed      []*op         // sends out, oldest first
-	heard     time.Duration // its newest sign of life in answer to a send
-	limit     float64       // sends that it may owe
-	cutAt     time.Duration // when the limit last shrank
-	credit    float64       // in the rotation
-	allowed   float64       // work that it may be sent while cold; below 0 it has had more
-	allowedAt time.Duration
-	needs     int           // probes that it must answer before it is used, at first or after being set aside
-	nextProbe time.Duration // never while one is out
-	wait      time.Duration // for which it was last passed over; 0 once it has acked
-	shunned   time.Duration // passed over until then
+	id          uint32
+	group       *group
+	state       State
+	weight      float64
+	started     time.Duration
+	role        Role
+	roleAt      time.Duration // how new the newest evidence of the role is
+	pos, behind time.Duration // the newest position told, it never goes back; how far it was behind the present
+	owed        []*op         // sends out, oldest first
+	heard       time.Duration // its newest sign of life in answer to a send
+	limit       float64       // sends that it may owe
+	cutAt       time.Duration // when the limit last shrank
+	credit      float64       // in the rotation
+	allowed     float64       // work that it may be sent while cold; below 0 it has had more
+	allowedAt   time.Duration
+	needs       int           // probes that it must answer before it is used, at first or after being set aside
+	nextProbe   time.Duration // never while one is out
+	wait        time.Duration // for which it was last passed over; 0 once it has acked
+	shunned     time.Duration // passed over until then
 }
 
 type group struct {
@@ -169,32 +155,29 @@
 	servers map[uint32]*server
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
-	waking  []*op    // reused
 
-	probing               float64       // probes that may be spent by now
 	tick, brief           time.Duration // between looks at the clock; the design's brief wait
 	checked, carried      bool          // replicas check reads; a session read tells its mark
 	probes, cancels, asks bool          // allowed; allowed; probes tell positions
 	goneMayRun, steady    bool          // the list's word 'gone' proves nothing; only probes tell positions
 	maxSends, firstNeeds  int           // sends for an op; probes that a server answers before it is used
-	writeValue            float64       // the highest of any write
-	tightest              time.Duration // the tightest bound of any op type
-	comeBack              time.Duration // the longest wait that a client honours; 0: none is told
+	gateways              float64       // how many there are
+	tightest, comeBack    time.Duration // bound of any op type; the longest wait a client honours, 0: none is told
 
-	askAt, askWait, askMin, askMax time.Duration // askMax 0: the list comes unasked
+	askAt, askWait time.Duration // when to ask for the list again, 0: not; between askings
 
-	crowded, resetAt       time.Duration // until when connections are taken to be scarce; the last reset
-	home, spread           pool          // of all primaries, of all replicas
-	gateways               float64
 	coldFrom, coldMultiple float64
 	coldTime, overloadTime time.Duration
-	sentWarm, warm         float64       // work sent to warm servers of late; what one of them is sent in a unit of time
+	sentWarm, warm         float64       // work sent to warm servers of late; to one of them in a unit of time
+	home, spread           pool          // of all primaries, of all replicas
+	probing                float64       // probes that may be spent by now
 	timedAt, walkedAt      time.Duration // the last timer; the last that walked all groups
 	pausedAt               time.Duration // when this gateway last found that it had stood still
+	crowded, resetAt       time.Duration // until when connections are taken to be scarce; the last reset
 	seed, draws            uint64
 
-	marks         map[uint64]time.Duration // the newest commit by session, as far as kept one by one
-	newest, floor time.Duration            // the newest mark kept, and the newest that was dropped
+	marks map[uint64]time.Duration // the newest commit by session, as far as kept one by one
+	floor time.Duration            // the newest mark that was dropped
 }
 
 // New makes a gateway's decision module. The host hands over the cached list next.
@@ -203,30 +186,25 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		asks: d.Probes && d.ReportsPosition, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
+		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		overloadTime: max(1, d.OverloadTime), crowded: LongPast, resetAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
-		home: pool{share: 1}, spread: pool{share: 1}, marks: map[uint64]time.Duration{}, newest: LongPast, floor: LongPast,
+		home: pool{share: 1}, spread: pool{share: 1}, marks: map[uint64]time.Duration{}, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
-		g.types = append(g.types, opType{effect: t.Effect, scope: t.Scope, need: t.Need, window: t.Window,
-			bound: t.Bound, target: t.Target, timeout: t.Timeout, value: t.Value,
-			late: t.LateValue})
+		g.types = append(g.types, opType{OpType: t})
 		if t.Need == Bounded {
 			g.tightest = min(g.tightest, t.Bound)
 		}
-		if t.Need == Write {
-			g.writeValue = max(g.writeValue, t.Value)
-		}
 	}
 	if d.Probes {
 		g.firstNeeds = 1
 	}
 	if d.ListAsked {
-		g.askMin, g.askMax = d.AskWithin/32, d.AskWithin/4
-		g.askWait, g.askAt = g.askMin, g.askMax
+		g.askWait = d.AskWithin / 16
+		g.askAt = g.askWait
 		h.WatchList()
 	}
 	h.Timer(0, g.tick)
@@ -238,25 +216,25 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	g.mind(now)
 	t := &g.types[kind]
-	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.target, due: due,
-		mark: math.MaxInt64, holdUntil: now + t.target/holdShare}
+	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.Target, due: due,
+		mark: math.MaxInt64, maybeAt: LongPast, holdUntil: now + t.Target/holdShare}
 	// Clients give most tries the same part of the op timeout. One that gets another part has what its
 	// client has left since its first try; so that start is known, and what an answer can still earn.
-	switch share := float64(due-now) / float64(max(t.timeout, 1)); {
+	switch share := float64(due-now) / float64(max(t.Timeout, 1)); {
 	case math.Abs(share-t.tryShare) < sameShare:
 		t.votes = min(t.votes+1, fullTurn)
 	case now == g.pausedAt && share < t.tryShare: // it came while this gateway stood still
-		o.targetAt = due - time.Duration(t.tryShare*float64(t.timeout)) + t.target
+		o.targetAt = due - time.Duration(t.tryShare*float64(t.Timeout)) + t.Target
 	case t.votes == 0:
 		t.tryShare, t.votes = share, 1
 	default:
 		t.votes--
-		o.targetAt = due - t.timeout + t.target
+		o.targetAt = due - t.Timeout + t.Target
 	}
 	if again {
-		o.targetAt = min(o.targetAt, now+t.target/retryLeft)
+		o.targetAt = min(o.targetAt, now+t.Target/retryLeft)
 	}
-	switch t.need {
+	switch t.Need {
 	case Session:
 		o.mark = g.markOf(now, session, wroteAgo)
 	case Bounded:
@@ -265,7 +243,9 @@
 		o.mark = LongPast
 	}
 	g.ops[id] = o
-	g.probing = min(g.probing+probeShare, fullTurn/4)
+	if g.probing < fullTurn/4 {
+		g.probing += probeShare
+	}
 	g.place(now, o)
 }
 
@@ -286,11 +266,12 @@
 // floor for every session, so memory is bounded and no read sees less than it must.
 func (g *Gateway) remember(session uint64, pos time.Duration) {
 	if len(g.marks) >= rememberedAt {
-		g.floor = g.newest
+		for _, m := range g.marks {
+			g.floor = max(g.floor, m)
+		}
 		clear(g.marks)
 	}
 	g.marks[session] = max(pos, g.markOf(0, session, 0))
-	g.newest = max(g.newest, pos)
 }
 
 // Answer is called once for each send, when it has ended.
@@ -306,13 +287,12 @@
 	}
 	s, o.at = o.at, nil
 	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
-	if result == Acked && o.t.need == Write && pos != LongPast {
+	if result == Acked && o.t.Need == Write && pos != LongPast {
 		g.remember(o.session, pos)
 	}
-	g.connected(now, s, result, took)
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
-	if !neverRan && !o.mayHaveRun {
-		o.mayHaveRun, o.maybeAt = true, o.sentAt
+	if !neverRan && o.maybeAt == LongPast {
+		o.maybeAt = o.sentAt
 	}
 	s.group.owed--
 	if neverRan {
@@ -328,20 +308,6 @@
 	g.wake(now, s.group)
 }
 
-// connected leaves connections to others. Where one is turned away at once, and none was reset of late, servers
-// take no more of them: for a while this gateway leaves none open that it does not use.
-func (g *Gateway) connected(now time.Duration, s *server, result Result, took time.Duration) {
-	switch {
-	case result == Reset: // a bad way or a dead process, no lack of connections
-		g.resetAt, g.crowded = now, LongPast
-	case result == NoConnection && took < g.brief && now-g.resetAt > scarce*g.brief:
-		g.crowded = now + scarce*g.brief
-	}
-	if now < g.crowded && len(s.owed) == 0 {
-		g.host.CloseIdle(s.id)
-	}
-}
-
 // mind notices that the gateway itself has stood still: timers come every tick. What it then finds at once
 // says nothing of the servers, so their waits begin anew.
 func (g *Gateway) mind(now time.Duration) {
@@ -367,12 +333,7 @@
 	if o.at == nil {
 		delete(g.ops, o.id)
 	}
-	g.cancel(o)
-}
-
-func (g *Gateway) cancel(o *op) {
-	if g.cancels && !o.cancelled && o.at != nil {
-		o.cancelled = true
+	if o.at != nil && g.cancels {
 		g.host.Cancel(o.id, uint8(o.sends-1))
 	}
 }
@@ -380,8 +341,8 @@
 // giveUp ends an op that cannot be served any more, at once. Rule 2: the busy reply, which says that
 // trying again is harmless, only where that is so.
 func (g *Gateway) giveUp(o *op) {
-	if t := o.t; !o.mayHaveRun || t.effect == Retryable || t.effect == Tokened && t.scope == ScopeAll {
-		g.host.BusyReply(o.id, min(t.target, g.comeBack))
+	if t := o.t; o.maybeAt == LongPast || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
+		g.host.BusyReply(o.id, min(t.Target, g.comeBack))
 	} else {
 		g.host.Error(o.id)
 	}
@@ -391,7 +352,7 @@
 // lastUseful is the latest time at which sending an op can still earn anything.
 func (g *Gateway) lastUseful(o *op) time.Duration {
 	end := o.targetAt
-	if o.t.late > 0 {
+	if o.t.LateValue > 0 {
 		end = o.due
 	}
 	return min(end-o.t.usual(), o.due-2*g.tick)
@@ -408,11 +369,10 @@
 	} else if !o.held {
 		o.held, o.worth = true, o.t.worth()
 		if now > o.targetAt {
-			o.worth *= o.t.late
+			o.worth *= o.t.LateValue
 		}
-		h := o.group.held
-		i, _ := slices.BinarySearchFunc(h, o, func(a, b *op) int { return cmp.Compare(b.worth, a.worth) })
-		o.group.held = slices.Insert(h, i, o)
+		i, _ := slices.BinarySearchFunc(o.group.held, o, func(a, b *op) int { return cmp.Compare(b.worth, a.worth) })
+		o.group.held = slices.Insert(o.group.held, i, o)
 	}
 }
 
@@ -423,70 +383,60 @@
 
 // wake tries the held ops of a group again.
 func (g *Gateway) wake(now time.Duration, gr *group) {
-	g.waking = append(g.waking[:0], gr.held...)
-	for _, o := range g.waking {
+	for _, o := range slices.Clone(gr.held) {
 		g.place(now, o)
 	}
 }
 
 // choose follows the design: writes and fresh reads go home to the primary, other reads rotate over
 // replicas that are fresh enough; session and bounded reads wait a little for one, then go home.
-func (g *Gateway) choose(now time.Duration, o *op) *server {
+func (g *Gateway) choose(now time.Duration, o *op) (s *server) {
 	home := o.group.primary
-	switch {
-	case o.t.need == Write && (!home.usable() || home.wait > g.brief):
+	if o.t.Need == Write && (!home.usable() || home.wait > g.brief) {
 		return g.scout(now, o)
-	case (o.t.need == Write || o.t.need == Fresh) && g.home.takes(o):
-		return home.room(now, 1)
-	case o.t.need == Write || o.t.need == Fresh:
-		return nil
 	}
-	// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
-	// reads share the replica that is furthest behind, so that the others stay fresh.
-	takes := g.spread.takes(o)
-	if takes && o.t.need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
-		return g.furthest(now, o.group, -1).room(now, 1)
-	}
-	var s *server
-	if takes {
-		s = g.rotate(now, o.group, o.want(now))
-	}
-	if s == nil && takes && g.checked && !o.missed {
-		s = g.furthest(now, o.group, 1)
-	}
-	// Answers that come too seldom to tell a position in time are no reason to crowd the primary: each such read
-	// may ask one replica, the next in turn, while it is held.
-	if s == nil && takes && g.asks && !g.checked && !o.asked && now < o.holdUntil && now-o.group.heard > o.holdUntil-now {
-		if r := g.rotate(now, o.group, LongPast); r != nil && r.nextProbe <= now {
-			o.asked, r.nextProbe = true, math.MaxInt64
-			g.host.Probe(r.id)
+	if o.t.Need == Write || o.t.Need == Fresh {
+		if g.home.takes(o) {
+			s = home.room(now)
 		}
+		return s
 	}
-	if s == nil && now >= o.holdUntil && g.home.takes(o) {
-		share := homeShare
-		if o.t.value >= g.writeValue {
-			share = 1
+	if g.spread.takes(o) {
+		// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
+		// reads share the replica that is furthest behind, so that the others stay fresh.
+		if o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
+			return g.furthest(now, o.group, -1).room(now)
+		}
+		if s = g.rotate(now, o.group, o.want(now)); s == nil && g.checked && !o.missed {
+			s = g.furthest(now, o.group, 1)
+		}
+		if s == nil && now < o.holdUntil {
+			g.ask(now, o)
 		}
-		s = home.room(now, share)
+	}
+	if s == nil && now >= o.holdUntil && g.home.takes(o) {
+		s = home.room(now)
 	}
 	return s
 }
 
-func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
-
-// room returns the server if it is usable and owes less than a share of what it takes. Sends whose answers
-// must have been lost do not count: a server that loses some is not shut for the others.
-func (s *server) room(now time.Duration, share float64) *server {
-	if !s.usable() || now < s.shunned {
-		return nil
+// ask probes the replica next in turn for its position, once for a held read, where answers come too seldom
+// to tell one in time: that is no reason to crowd the primary.
+func (g *Gateway) ask(now time.Duration, o *op) {
+	if !g.asks || o.asked || now-o.group.heard <= o.holdUntil-now {
+		return
 	}
-	owes := 0.0
-	for _, o := range s.owed {
-		if !o.lost(now) {
-			owes++
-		}
+	if s := g.rotate(now, o.group, LongPast); s != nil && s.nextProbe <= now {
+		o.asked, s.nextProbe = true, math.MaxInt64
+		g.host.Probe(s.id)
 	}
-	if owes >= s.limit*share {
+}
+
+func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
+
+// room returns the server if it is in use and owes less than it takes.
+func (s *server) room(now time.Duration) *server {
+	if !s.usable() || now < s.shunned || float64(len(s.owed)) >= s.limit {
 		return nil
 	}
 	return s
@@ -504,33 +454,32 @@
 
 // rotate takes the next replica in turn whose position reaches want, passing over those with overdue
 // answers while there are others. A cold one gets turns as its ramp allows.
-func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) *server {
-	for _, overdueToo := range [2]bool{false, true} {
-		var best *server
-		total := 0.0
-		for _, s := range gr.members {
-			if s == gr.primary || g.reached(now, s) < want || s.room(now, 1) == nil || !overdueToo && s.overdue(now) {
-				continue
-			}
-			w := s.weight * g.ramp(now, s)
-			s.credit += w
-			total += w
-			if best == nil || s.credit > best.credit {
-				best = s
-			}
+func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) (best *server) {
+	total, overdue := 0.0, true
+	for _, s := range gr.members {
+		if s == gr.primary || g.reached(now, s) < want || s.room(now) == nil || !overdue && s.overdue(now) {
+			continue
 		}
-		if best != nil {
-			best.credit -= total
-			return best
+		if overdue && !s.overdue(now) {
+			best, total, overdue = nil, 0, false
+		}
+		w := s.weight * g.ramp(now, s)
+		s.credit += w
+		total += w
+		if best == nil || s.credit > best.credit {
+			best = s
 		}
 	}
-	return nil
+	if best != nil {
+		best.credit -= total
+	}
+	return best
 }
 
 // furthest is the replica with room that is furthest ahead (way 1), or the warm one furthest behind (-1).
 func (g *Gateway) furthest(now time.Duration, gr *group, way time.Duration) (best *server) {
 	for _, s := range gr.members {
-		fits := way > 0 && s.room(now, 1) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
+		fits := way > 0 && s.room(now) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
 		if s != gr.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
 			best = s
 		}
@@ -543,7 +492,7 @@
 // that an op has is kept for the primary once it is known.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
-		if o.sends < g.maxSends-1 && s.room(now, 1) != nil && !s.overdue(now) &&
+		if o.sends < g.maxSends-1 && s.room(now) != nil && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
 			return s
 		}
@@ -554,30 +503,26 @@
 // maySend is rule 2: whether a further send of this op can be allowed. A zone that drops repeats does not
 // help, as members of a group may stand in several.
 func (g *Gateway) maySend(now time.Duration, o *op) bool {
-	if o.sends >= g.maxSends || !o.mayHaveRun || o.t.effect == Retryable {
+	if o.sends >= g.maxSends || o.maybeAt == LongPast || o.t.Effect == Retryable {
 		return o.sends < g.maxSends
 	}
-	return o.t.effect == Tokened && o.t.scope != ScopeZone && now-o.maybeAt < o.t.window-2*g.tick
+	return o.t.Effect == Tokened && o.t.Scope != ScopeZone && now-o.maybeAt < o.t.Window-2*g.tick
 }
 
 // send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
 func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
 	// Rule 5: the server is the primary, is known to have what is needed, or checks for itself.
-	fresh := s == o.group.primary || o.t.need == Write || g.checked || s.pos >= o.want(now)
+	fresh := s == o.group.primary || o.t.Need == Write || g.checked || s.pos >= o.want(now)
 	if o.done || o.at != nil || !g.maySend(now, o) || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
 		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
-	o.at, o.sentAt, o.waitFrom, o.cancelled = s, now, now, false
+	o.at, o.sentAt, o.waitFrom = s, now, now
 	o.sends++
 	s.group.owed++
 	s.owed = append(s.owed, o)
-	timeout := time.Duration(0)
-	if !g.cancels && o.t.effect == Retryable {
-		timeout = o.t.target
-	}
-	g.host.Send(o.id, s.id, timeout)
+	g.host.Send(o.id, s.id, 0) // it may be called back
 	return true
 }
 
@@ -645,56 +590,60 @@
 
 // Report is called with what a server's load report says, before the answer that brought it.
 func (g *Gateway) Report(now time.Duration, id uint32, role Role, pos time.Duration) {
-	if s := g.servers[id]; s != nil {
-		at := pos // a report may be old: its position is the latest time that it surely speaks of
-		if pos == LongPast {
-			at = now
-		}
-		g.told(now, s, role, pos, at)
+	s := g.servers[id]
+	if s != nil && pos != LongPast {
+		g.told(now, s, role, pos, pos) // a report may be old: its position is the latest time that it surely speaks of
+	} else if s != nil {
+		g.told(now, s, role, pos, now)
 	}
 }
 
 // judge draws from one result what it says of a server's health and of how much it takes.
 func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
-	p := &g.spread
-	if s == s.group.primary {
-		p = &g.home
-	}
-	late := now == g.pausedAt // how late, nobody knows
-	if !late && (result == Acked || result == ServerFull || result == TimedOut) {
-		p.worth += (o.t.worth() - p.worth) / fullTurn
-		// The share stands still with one answer in four later than half its latency target, or none. Where a
-		// limit can still shrink, that is left to it.
-		if s.limit <= 1 && (took > o.t.target/2 || result == ServerFull) {
-			p.share *= cut
-		} else {
-			p.share = min(1, p.share*regain)
-		}
-	}
+	home, slow := s == s.group.primary, took > o.t.Target/fullShare
 	switch result {
-	case Acked:
-		s.heard, s.wait = now, 0
-		if late {
-			break
+	case Acked, Miss, ServerFull, ServerError:
+		s.heard = now
+	case Reset: // a bad way or a dead process, no lack of connections
+		g.resetAt, g.crowded = now, LongPast
+	case NoConnection:
+		// One that is turned away at once, with none reset of late, shows servers that take no more connections:
+		// for a while this gateway leaves none open that it does not use, as the others wait for them.
+		if took < g.brief && now-g.resetAt > scarce*g.brief {
+			g.crowded = now + scarce*g.brief
 		}
-		o.t.took.add(took, o.t.target)
-		if slow := took > o.t.target/fullShare; slow && now-s.cutAt > took {
+	}
+	if now < g.crowded && len(s.owed) == 0 {
+		g.host.CloseIdle(s.id)
+	}
+	switch {
+	case result == Acked && now == g.pausedAt: // how late it came, nobody knows
+		s.wait = 0
+	case result == Acked:
+		s.wait = 0
+		o.t.took.add(took, o.t.Target)
+		if slow && now-s.cutAt > took {
 			s.limit, s.cutAt = max(s.limit*cut, 1), now
-		} else if !slow && float64(len(s.owed)+1) >= s.limit*inUse {
+		} else if !slow {
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
-	case Miss:
-		s.heard = now
-	case ServerFull:
-		s.heard, s.limit = now, max(1, min(s.limit, float64(len(s.owed)))*cut)
-		g.doubt(now, s, false)
-	case ServerError:
-		s.heard = now
-		if s != s.group.primary { // which is the only one for writes, although it fails some
-			g.doubt(now, s, false)
-		}
-	case NoConnection, Reset:
-		g.doubt(now, s, false)
+	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
+		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
+	}
+	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
+		return
+	}
+	p := &g.spread
+	if home {
+		p = &g.home
+	}
+	p.worth += (o.t.worth() - p.worth) / fullTurn
+	// The share stands still with one answer in four later than half its latency target, or none. Where a
+	// limit can still shrink, that is left to it.
+	if s.limit <= 1 && (took > o.t.Target/2 || result == ServerFull) {
+		p.share *= cut
+	} else {
+		p.share = min(1, p.share*regain)
 	}
 }
 
@@ -731,9 +680,8 @@
 func (s *server) silent(now time.Duration) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
-		if wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual()); !o.lost(now) {
-			sum, longest = sum+wait, max(longest, wait)
-		}
+		wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
+		sum, longest = sum+wait, max(longest, wait)
 	}
 	return sum > silentAfter && longest > overdueAfter
 }
@@ -752,29 +700,23 @@
 		s.wait, s.needs = min(max(2*s.wait, g.brief/4), 32*g.brief), answered
 	case s.needs > 0: // an error is an answer too: probes may fail at servers that serve
 		s.needs--
-		if s.wait > 0 && s.heard < s.cutAt {
-			s.limit = 1 // it has answered no op since it was set aside
-		}
 	}
 	s.nextProbe = now + max(s.wait, g.brief)
 }
 
 // List is called with the server list as the host last held it, in full, or with changes to it.
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
-	if scope == ListFailed {
+	switch scope {
+	case ListFailed:
 		g.askAt = now + g.askWait
-		g.askWait = min(2*g.askWait, g.askMax)
 		return
+	case ListFull, ListChanges:
+		g.askAt = 0
 	}
-	if scope != ListCached {
-		g.askWait, g.askAt = g.askMin, 0
-	}
-	if scope != ListChanges {
-		for _, gr := range g.listed {
-			for _, s := range gr.members {
-				if !slices.ContainsFunc(listed, func(l Listed) bool { return l.ID == s.id }) {
-					g.line(now, &Listed{ID: s.id, Started: s.started})
-				}
+	for _, gr := range g.listed {
+		for _, s := range gr.members {
+			if scope != ListChanges && !slices.ContainsFunc(listed, func(l Listed) bool { return l.ID == s.id }) {
+				g.line(now, &Listed{ID: s.id, Started: s.started})
 			}
 		}
 	}
@@ -789,6 +731,7 @@
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
 			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, cutAt: LongPast, heard: LongPast,
 			allowedAt: LongPast, credit: -g.chance() * (1 - 1/g.gateways)} // gateways must not all begin at one server
+		g.probing++ // its first
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -800,6 +743,7 @@
 	again := s.started != l.Started // it has started again: what was known of it holds no more
 	if again {
 		s.started, s.needs, s.limit = l.Started, g.firstNeeds, max(1, startLimit/g.gateways)
+		g.probing++
 	}
 	s.state, s.weight = l.State, cmp.Or(float64(l.Weight), 1)
 	if (again || s.state != Ready) && s.group.primary == s {
@@ -824,7 +768,7 @@
 	g.mind(now)
 	g.host.Timer(0, now+g.tick)
 	if g.askAt > 0 && now >= g.askAt {
-		g.askAt = now + g.askMax
+		g.askAt = now + g.askWait
 		g.host.WatchList()
 	}
 	g.sentWarm *= math.Exp(-float64(now-g.timedAt) / float64(g.overloadTime))
@@ -844,22 +788,11 @@
 			}
 			if s.silent(now) {
 				g.doubt(now, s, true)
-				// Reads that a silent replica owes go to others in time. Writes stay out: only this server
-				// could say how they ended.
-				for _, o := range s.owed {
-					if s != gr.primary && o.t.effect == Retryable && o.sends < g.maxSends && now < g.lastUseful(o) {
-						g.cancel(o)
-					}
-				}
 			}
-			// Probed is what is to be trusted, or trusted again, or where nothing else tells positions. Those of servers
-			// set aside are rationed: with very many gateways or servers they would cost more than the ops.
-			first := s.needs > 0 && s.wait == 0
-			if g.probes && s.state == Ready && now >= s.nextProbe &&
-				(first || g.steady || g.probing >= 1 && s.needs > 0) {
-				if s.wait > 0 {
-					g.probing--
-				}
+			// Probed is what is to be trusted, or where nothing else tells positions. Probes are rationed by the ops
+			// that came in: with very many gateways or servers they would cost more than the ops.
+			if g.probes && s.state == Ready && now >= s.nextProbe && (g.steady || s.needs > 0 && g.probing >= 1) {
+				g.probing--
 				s.nextProbe = math.MaxInt64
 				g.host.Probe(s.id)
 			}
