Let limits shrink below one send by chance; a late server counts once against its pool

The failure showed in the pool, its cause was two servers: answers elsewhere took 90 ms. A limit now goes on below one send, where an op's chance decides, and only the late answer that takes it there counts against the pool. Guards against any slow, jammed or failing minority. Harm: where all servers turn late at once, the pool falls less far.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -397,7 +397,7 @@
 	}
 	if o.t.Need == Write || o.t.Need == Fresh {
 		if g.home.takes(o) {
-			s = home.room(now)
+			s = home.room(now, o)
 		}
 		return s
 	}
@@ -405,17 +405,17 @@
 		// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
 		// reads share the replica that is furthest behind, so that the others stay fresh.
 		if o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
-			return g.furthest(now, o.group, -1).room(now)
+			return g.furthest(now, o, -1).room(now, o)
 		}
-		if s = g.rotate(now, o.group, o.want(now)); s == nil && g.checked && !o.missed {
-			s = g.furthest(now, o.group, 1)
+		if s = g.rotate(now, o, o.want(now)); s == nil && g.checked && !o.missed {
+			s = g.furthest(now, o, 1)
 		}
 		if s == nil && now < o.holdUntil {
 			g.ask(now, o)
 		}
 	}
 	if s == nil && now >= o.holdUntil && g.home.takes(o) {
-		s = home.room(now)
+		s = home.room(now, o)
 	}
 	return s
 }
@@ -426,7 +426,7 @@
 	if !g.asks || o.asked || now-o.group.heard <= o.holdUntil-now {
 		return
 	}
-	if s := g.rotate(now, o.group, LongPast); s != nil && s.nextProbe <= now {
+	if s := g.rotate(now, o, LongPast); s != nil && s.nextProbe <= now {
 		o.asked, s.nextProbe = true, math.MaxInt64
 		g.host.Probe(s.id)
 	}
@@ -434,9 +434,9 @@
 
 func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
 
-// room returns the server if it is in use and owes less than it takes.
-func (s *server) room(now time.Duration) *server {
-	if !s.usable() || now < s.shunned || float64(len(s.owed)) >= s.limit {
+// room returns the server if it is in use and owes less than it takes, below one send by the op's chance.
+func (s *server) room(now time.Duration, o *op) *server {
+	if !s.usable() || now < s.shunned || float64(len(s.owed)) >= s.limit || o.luck > s.limit {
 		return nil
 	}
 	return s
@@ -454,10 +454,10 @@
 
 // rotate takes the next replica in turn whose position reaches want, passing over those with overdue
 // answers while there are others. A cold one gets turns as its ramp allows.
-func (g *Gateway) rotate(now time.Duration, gr *group, want time.Duration) (best *server) {
+func (g *Gateway) rotate(now time.Duration, o *op, want time.Duration) (best *server) {
 	total, overdue := 0.0, true
-	for _, s := range gr.members {
-		if s == gr.primary || g.reached(now, s) < want || s.room(now) == nil || !overdue && s.overdue(now) {
+	for _, s := range o.group.members {
+		if s == o.group.primary || g.reached(now, s) < want || s.room(now, o) == nil || !overdue && s.overdue(now) {
 			continue
 		}
 		if overdue && !s.overdue(now) {
@@ -477,10 +477,10 @@
 }
 
 // furthest is the replica with room that is furthest ahead (way 1), or the warm one furthest behind (-1).
-func (g *Gateway) furthest(now time.Duration, gr *group, way time.Duration) (best *server) {
-	for _, s := range gr.members {
-		fits := way > 0 && s.room(now) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
-		if s != gr.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
+func (g *Gateway) furthest(now time.Duration, o *op, way time.Duration) (best *server) {
+	for _, s := range o.group.members {
+		fits := way > 0 && s.room(now, o) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
+		if s != o.group.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
 			best = s
 		}
 	}
@@ -492,7 +492,7 @@
 // that an op has is kept for the primary once it is known.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
-		if o.sends < g.maxSends-1 && s.room(now) != nil && !s.overdue(now) &&
+		if o.sends < g.maxSends-1 && s.room(now, o) != nil && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
 			return s
 		}
@@ -623,8 +623,8 @@
 		s.wait = 0
 		o.t.took.add(took, o.t.Target)
 		if slow && now-s.cutAt > took {
-			s.limit, s.cutAt = max(s.limit*cut, 1), now
-		} else if !slow {
+			s.limit, s.cutAt = max(s.limit*cut, min(s.limit, 1)), now
+		} else if !slow && s.limit >= 1 {
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
@@ -639,11 +639,15 @@
 	}
 	p.worth += (o.t.worth() - p.worth) / fullTurn
 	// The share stands still with one answer in four later than half its latency target, or none. Where a
-	// limit can still shrink, that is left to it.
-	if s.limit <= 1 && (took > o.t.Target/2 || result == ServerFull) {
-		p.share *= cut
-	} else {
+	// limit can still shrink, or did at the last answer, that is left to it: one bad server is not all of them.
+	if late := took > o.t.Target/2 || result == ServerFull; late && s.limit <= 1 {
+		if s.limit == 1 {
+			p.share *= cut
+		}
+		s.limit *= cut
+	} else if !late {
 		p.share = min(1, p.share*regain)
+		s.limit = max(s.limit, min(1, s.limit/cut))
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -402,3 +403,20 @@
 	g.Op(1505*ms, 2, writeOnce, 0, 1600*ms, 0, 0, false)
 	want(t, h, "send 1 to 1", "busy 2")
 }
+
+// Guards against holding back ops from good groups for one bad server (capitol-assessor-later ic2e002).
+func TestOneLateServerCountsOnceAgainstItsPool(t *testing.T) {
+	g, _ := start(nil)
+	s := g.servers[2]
+	s.limit = 1
+	for now := range time.Duration(3) {
+		g.judge(now*time.Second, s, &op{t: &g.types[anyRead]}, Acked, 300*ms)
+	}
+	if got, want := s.limit, cut*cut*cut; math.Abs(got-want) > 1e-9 || g.spread.share != cut {
+		t.Errorf("limit %v and share %v, want %v and %v", got, g.spread.share, want, cut)
+	}
+	g.judge(4*time.Second, s, &op{t: &g.types[anyRead]}, Acked, ms)
+	if s.room(5*time.Second, &op{luck: 0.9}) != nil || s.room(5*time.Second, &op{luck: 0.6}) == nil {
+		t.Errorf("with a limit of %v, the op's chance does not decide", s.limit)
+	}
+}
