--- a/choice/choice.go
+++ b/choice/choice.go
@@ -627,6 +627,8 @@
 		} else if !slow && s.limit >= 1 {
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
+	case result == ServerFull && home: // it answers, so it is not to be looked for elsewhere
+		s.shunned = now + g.brief
 	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
 		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -410,7 +410,7 @@
 	s := g.servers[2]
 	s.limit = 1
 	for now := range time.Duration(3) {
-		g.judge(now*time.Second, s, &op{t: &g.types[anyRead]}, Acked, 300*ms)
+		g.judge((now+1)*time.Second, s, &op{t: &g.types[anyRead]}, Acked, 300*ms)
 	}
 	if got, want := s.limit, cut*cut*cut; math.Abs(got-want) > 1e-9 || g.spread.share != cut {
 		t.Errorf("limit %v and share %v, want %v and %v", got, g.spread.share, want, cut)
