--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,10 +1,9 @@
 package choice
 
-// A Gateway is the decision module of one gateway. Whoever speaks a protocol (the bench's adapter
-// now, the service's own listener later) makes one with New and calls one method for each thing that
-// happens: List, Op, Answer, Report, ProbeAnswer, ClientGone, Timer. Calls come one at a time, each
-// with the span since the gateway's start. Inside them the Gateway acts by calling its Host; that
-// interface and the plain types handed over at start are in host.go.
+// A Gateway decides for one gateway. Whoever speaks a protocol (the bench's adapter now, the service's own listener
+// later) makes one with New and calls one method for each thing that happens: List, Op, Answer, Report, ProbeAnswer,
+// ClientGone, Timer. Calls come one at a time, each with the span since the start; inside them the Gateway acts by
+// calling its Host. That interface and the plain types handed over at start are in host.go.
 
 import (
 	"cmp"
@@ -18,11 +17,10 @@
 
 // The few constants are ratios, so that they fit any deployment.
 const (
-	holdShare    = 4    // the design holds a session read for this part of its latency target
+	holdShare    = 4    // a session read is held for this part of its latency target; as much is left to a marked retry
 	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
 	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
-	retryLeft    = 4    // a marked retry has this part of its latency target left: busy replies come late
 	scarce       = 128  // brief waits for which trouble with connections is taken to last
 	pause        = 8    // ticks without a timer that show that the gateway itself stood still
 	regain       = 1.08 // a pool's share grows so at a timely answer
@@ -92,21 +90,20 @@
 func (t *opType) usual() time.Duration { return t.took.mean(t.Target) }
 
 type op struct {
-	id               uint32
-	t                *opType
-	group            *group
-	session          uint64
-	luck, worth      float64       // whether it falls into a pool's share; value for a unit of time
-	mark             time.Duration // the position that a replica must have reached
-	targetAt         time.Duration // when its latency target passes, counted from the client's first try
-	holdUntil, due   time.Duration // for a replica, then it may go home; its client leaves
-	at               *server       // where a send is out, or nil
-	sends            int
-	sentAt, waitFrom time.Duration // the newest send; the same or the end of this gateway's own pause
-	maybeAt          time.Duration // the first send that may have run; LongPast: none may have
-	work             time.Duration // that the newest was taken to bring, if to a warm server
-	held, done       bool
-	missed, asked    bool // a replica turned it away; was probed for it
+	id                       uint32
+	t                        *opType
+	group                    *group
+	session                  uint64
+	luck, worth              float64       // whether it falls into a share; its value for a unit of time
+	mark                     time.Duration // the position that a replica must have reached
+	targetAt, holdUntil, due time.Duration // its client's latency target; held for a replica; its client leaves
+	at                       *server       // where a send is out, or nil
+	sends                    int
+	sentAt, waitFrom         time.Duration // the newest send; the same or the end of this gateway's own pause
+	maybeAt                  time.Duration // the first send that may have run; LongPast: none may have
+	work                     time.Duration // that the newest was taken to bring, if to a warm server
+	held, missed, asked      bool          // a replica turned it away; one was probed for it
+	done                     bool
 }
 
 // want is the position that a replica must have reached for this op.
@@ -118,25 +115,23 @@
 }
 
 type server struct {
-	id          uint32
-	group       *group
-	state       State
-	weight      float64
-	started     time.Duration
-	role        Role
-	roleAt      time.Duration // how new the newest evidence of the role is
-	pos, behind time.Duration // the newest position told, it never goes back; how far it was behind the present
-	owed        []*op         // sends out, oldest first
-	heard       time.Duration // its newest sign of life in answer to a send
-	limit       float64       // sends that it may owe
-	cutAt       time.Duration // when the limit last shrank
-	credit      float64       // in the rotation
-	allowed     float64       // work that it may be sent while cold; below 0 it has had more
-	allowedAt   time.Duration
-	needs       int           // probes that it must answer before it is used, at first or after being set aside
-	nextProbe   time.Duration // never while one is out
-	wait        time.Duration // for which it was last passed over; 0 once it has acked
-	shunned     time.Duration // passed over until then
+	id                uint32
+	group             *group
+	state             State
+	weight, credit    float64 // credit: in the rotation
+	started           time.Duration
+	role              Role
+	roleAt            time.Duration // how new the newest evidence of the role is
+	pos, behind       time.Duration // the newest position told, it never goes back; its distance from the present
+	owed              []*op         // sends out, oldest first
+	heard             time.Duration // its newest sign of life in answer to a send
+	limit             float64       // sends that it may owe; below one, the chance that an op may be sent
+	cutAt             time.Duration // when the limit last shrank
+	allowed           float64       // work that it may be sent while cold; below 0 it has had more
+	allowedAt         time.Duration
+	needs             int           // probes that it must answer before it is used, at first or after being set aside
+	nextProbe         time.Duration // never while one is out
+	wait, shunnedTill time.Duration // for which it was last passed over, 0 once it has acked; until when
 }
 
 type group struct {
@@ -156,25 +151,24 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief           time.Duration // between looks at the clock; the design's brief wait
-	checked, carried      bool          // replicas check reads; a session read tells its mark
-	probes, cancels, asks bool          // allowed; allowed; probes tell positions
-	goneMayRun, steady    bool          // the list's word 'gone' proves nothing; only probes tell positions
-	maxSends, firstNeeds  int           // sends for an op; probes that a server answers before it is used
-	gateways              float64       // how many there are
-	tightest, comeBack    time.Duration // bound of any op type; the longest wait a client honours, 0: none is told
-
-	askAt, askWait time.Duration // when to ask for the list again, 0: not; between askings
-
-	coldFrom, coldMultiple float64
-	coldTime, overloadTime time.Duration
-	sentWarm, warm         float64       // work sent to warm servers of late; to one of them in a unit of time
-	home, spread           pool          // of all primaries, of all replicas
-	probing                float64       // probes that may be spent by now
-	timedAt, walkedAt      time.Duration // the last timer; the last that walked all groups
-	pausedAt               time.Duration // when this gateway last found that it had stood still
-	crowded, resetAt       time.Duration // until when connections are taken to be scarce; the last reset
-	seed, draws            uint64
+	tick, brief              time.Duration // between looks at the clock; the design's brief wait
+	checked, carried, steady bool          // replicas check reads; session reads tell marks; only probes tell positions
+	probes, cancels, asks    bool          // allowed; allowed; probes tell positions where replicas do not check
+	goneMayRun, marked       bool          // the list's word 'gone' proves nothing; clients mark retries
+	maxSends, firstNeeds     int           // sends for an op; probes that a server answers before it is used
+	tightest, comeBack       time.Duration // bound of any op type; the longest wait a client honours, 0: none is told
+	askAt, askWait           time.Duration // when to ask for the list again, 0: not; between askings
+	coldTime, overloadTime   time.Duration
+	coldFrom, coldMultiple   float64
+	gateways                 float64
+	seed, draws              uint64
+
+	sentWarm, warm       float64       // work sent to warm servers of late; to one of them in a unit of time
+	home, spread         pool          // of all primaries, of all replicas
+	probing              float64       // probes that may be spent by now
+	timedAt, walkedAt    time.Duration // the last timer; the last that walked all groups
+	pausedAt             time.Duration // when this gateway last found that it had stood still
+	crowdedTill, resetAt time.Duration // connections are taken to be scarce; the last reset
 
 	marks map[uint64]time.Duration // the newest commit by session, as far as kept one by one
 	floor time.Duration            // the newest mark that was dropped
@@ -186,10 +180,10 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, goneMayRun: d.OnlyDrainingBinds, steady: d.ReportsPosition && !d.TellsPosition,
+		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
-		overloadTime: max(1, d.OverloadTime), crowded: LongPast, resetAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
+		overloadTime: max(1, d.OverloadTime), crowdedTill: LongPast, resetAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		home: pool{share: 1}, spread: pool{share: 1}, marks: map[uint64]time.Duration{}, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
@@ -227,12 +221,14 @@
 		o.targetAt = due - time.Duration(t.tryShare*float64(t.Timeout)) + t.Target
 	case t.votes == 0:
 		t.tryShare, t.votes = share, 1
+	case g.marked && !again: // its client has little time, but has not tried before
+		t.votes--
 	default:
 		t.votes--
 		o.targetAt = due - t.Timeout + t.Target
 	}
 	if again {
-		o.targetAt = min(o.targetAt, now+t.Target/retryLeft)
+		o.targetAt = min(o.targetAt, now+t.Target/holdShare)
 	}
 	switch t.Need {
 	case Session:
@@ -355,7 +351,7 @@
 	if o.t.LateValue > 0 {
 		end = o.due
 	}
-	return min(end-o.t.usual(), o.due-2*g.tick)
+	return min(min(end, o.due)-o.t.usual(), o.due-2*g.tick)
 }
 
 // place sends an op where the design wants it, holds it, or gives it up.
@@ -436,7 +432,7 @@
 
 // room returns the server if it is in use and owes less than it takes, below one send by the op's chance.
 func (s *server) room(now time.Duration, o *op) *server {
-	if !s.usable() || now < s.shunned || float64(len(s.owed)) >= s.limit || o.luck > s.limit {
+	if !s.usable() || now < s.shunnedTill || float64(len(s.owed)) >= s.limit || o.luck > s.limit {
 		return nil
 	}
 	return s
@@ -557,44 +553,43 @@
 
 // chance draws from 0 to 1; the same seed and the same events give the same draws.
 func (g *Gateway) chance() float64 {
-	var b [16]byte
 	g.draws++
-	binary.BigEndian.PutUint64(b[:], g.seed)
-	binary.BigEndian.PutUint64(b[8:], g.draws)
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+	b := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, g.seed), g.draws)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
 }
 
-// told takes in what a server says of itself: role and position, the evidence being as old as at.
+// told takes in what a server says of itself: role and position, the evidence being as old as at. A primary
+// stands at the present, so its position dates its claim.
 func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
 	s.behind = now - s.pos
+	gr := s.group
 	if role == Replica {
-		s.group.heard = at
-	}
-	if role == Primary && pos != LongPast {
-		at = pos // a primary stands at the present, so its position dates the claim
+		gr.heard = at
+	} else if role == Primary && pos != LongPast {
+		at = pos
 	}
 	if role == RoleUnknown || at < s.roleAt {
 		return
 	}
-	gr := s.group
 	s.role, s.roleAt = role, at
-	switch {
-	case role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt):
+	if role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt) {
 		gr.primary = s
 		g.host.Log("primary found")
-	case role == Replica && gr.primary == s:
+	} else if role == Replica && gr.primary == s {
 		gr.primary = nil
 	}
 }
 
-// Report is called with what a server's load report says, before the answer that brought it.
+// Report is called with what a server's load report says, before the answer that brought it. It may be old: its
+// position is the latest time that it surely speaks of.
 func (g *Gateway) Report(now time.Duration, id uint32, role Role, pos time.Duration) {
-	s := g.servers[id]
-	if s != nil && pos != LongPast {
-		g.told(now, s, role, pos, pos) // a report may be old: its position is the latest time that it surely speaks of
-	} else if s != nil {
-		g.told(now, s, role, pos, now)
+	at := pos
+	if pos == LongPast {
+		at = now
+	}
+	if s := g.servers[id]; s != nil {
+		g.told(now, s, role, pos, at)
 	}
 }
 
@@ -605,35 +600,35 @@
 	case Acked, Miss, ServerFull, ServerError:
 		s.heard = now
 	case Reset: // a bad way or a dead process, no lack of connections
-		g.resetAt, g.crowded = now, LongPast
+		g.resetAt, g.crowdedTill = now, LongPast
 	case NoConnection:
 		// One that is turned away at once, with none reset of late, shows servers that take no more connections:
 		// for a while this gateway leaves none open that it does not use, as the others wait for them.
 		if took < g.brief && now-g.resetAt > scarce*g.brief {
-			g.crowded = now + scarce*g.brief
+			g.crowdedTill = now + scarce*g.brief
 		}
 	}
-	if now < g.crowded && len(s.owed) == 0 {
+	if now < g.crowdedTill && len(s.owed) == 0 {
 		g.host.CloseIdle(s.id)
 	}
 	switch {
-	case result == Acked && now == g.pausedAt: // how late it came, nobody knows
-		s.wait = 0
 	case result == Acked:
 		s.wait = 0
+	case result == ServerFull && home: // it answers, so it is not to be looked for elsewhere
+		s.shunnedTill = now + g.brief
+	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
+		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
+	}
+	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
+		return // after a pause of its own nobody knows how late an answer came
+	}
+	if result == Acked {
 		o.t.took.add(took, o.t.Target)
 		if slow && now-s.cutAt > took {
 			s.limit, s.cutAt = max(s.limit*cut, min(s.limit, 1)), now
 		} else if !slow && s.limit >= 1 {
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
-	case result == ServerFull && home: // it answers, so it is not to be looked for elsewhere
-		s.shunned = now + g.brief
-	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
-		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
-	}
-	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
-		return
 	}
 	p := &g.spread
 	if home {
@@ -658,12 +653,12 @@
 // reached is tried again, as writes have no other place; and at most half of a group is set aside, as a
 // gateway that finds more than that in trouble is more likely in trouble itself.
 func (g *Gateway) doubt(now time.Duration, s *server, sure bool) {
-	if now < s.shunned || s.needs > 0 {
+	if now < s.shunnedTill || s.needs > 0 {
 		return
 	}
 	sure = sure || s.wait > 0 && s != s.group.primary
 	s.wait = min(max(2*s.wait, g.brief/4), 32*g.brief)
-	s.shunned = now + s.wait
+	s.shunnedTill = now + s.wait
 	aside := 1
 	for _, m := range s.group.members {
 		if m.needs > 0 && m.wait > 0 {
@@ -671,7 +666,7 @@
 		}
 	}
 	if g.probes && sure && 2*aside <= len(s.group.members) {
-		s.needs, s.cutAt, s.nextProbe = answered, now, s.shunned
+		s.needs, s.nextProbe = answered, s.shunnedTill
 		g.host.Log("server set aside")
 	}
 }
@@ -735,7 +730,7 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, cutAt: LongPast, heard: LongPast,
+			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, heard: LongPast,
 			allowedAt: LongPast, credit: -g.chance() * (1 - 1/g.gateways)} // gateways must not all begin at one server
 		g.probing++ // its first
 		g.servers[l.ID] = s
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -420,3 +420,12 @@
 		t.Errorf("with a limit of %v, the op's chance does not decide", s.limit)
 	}
 }
+
+// Guards against giving up the first tries of clients with little time left (waco-main-later big-1).
+func TestShortTryIsNotOldWhereRetriesAreMarked(t *testing.T) {
+	g, h := start(func(d *Deployment) { d.RetriesMarked, d.OpTypes[anyRead].LateValue = true, 0 })
+	do(g, 0, 1, anyRead)
+	g.Op(0, 2, anyRead, 0, 300*ms, 0, 0, false)
+	g.Op(0, 3, anyRead, 0, 300*ms, 0, 0, true)
+	want(t, h, "send 1 to 2", "send 2 to 3", "busy 3")
+}
