--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,16 +66,6 @@
 	return time.Duration(sum / float64(h.total))
 }
 
-// pool is what is known of all primaries together, or of all replicas: with many gateways a single server
-// answers too seldom to tell how it fares.
-type pool struct {
-	share float64 // of the work wanted there that is sent
-	worth float64 // the value for each unit of time that it earns, on average
-}
-
-// takes tells whether an op falls into the share, by its chance: the more valuable, the more likely.
-func (p *pool) takes(o *op) bool { return o.luck <= math.Pow(p.share, p.worth/o.t.worth()) }
-
 type opType struct {
 	OpType
 	tryShare float64   // the share of the op timeout that most tries are given
@@ -83,9 +73,6 @@
 	took     histogram // answer times as parts of the latency target
 }
 
-// worth is its value for each unit of a server's time.
-func (t *opType) worth() float64 { return t.Value / float64(t.usual()) }
-
 // usual is what an answer to this type takes these days.
 func (t *opType) usual() time.Duration { return t.took.mean(t.Target) }
 
@@ -101,7 +88,6 @@
 	sends                    int
 	sentAt, waitFrom         time.Duration // the newest send; the same or the end of this gateway's own pause
 	maybeAt                  time.Duration // the first send that may have run; LongPast: none may have
-	work                     time.Duration // that the newest was taken to bring, if to a warm server
 	held, missed, asked      bool          // a replica turned it away; one was probed for it
 	done                     bool
 }
@@ -164,7 +150,7 @@
 	seed, draws              uint64
 
 	sentWarm, warm       float64       // work sent to warm servers of late; to one of them in a unit of time
-	home, spread         pool          // of all primaries, of all replicas
+	home, spread         float64       // shares of what is wanted that all primaries, all replicas are sent
 	probing              float64       // probes that may be spent by now
 	timedAt, walkedAt    time.Duration // the last timer; the last that walked all groups
 	pausedAt             time.Duration // when this gateway last found that it had stood still
@@ -183,8 +169,8 @@
 		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, steady: d.ReportsPosition && !d.TellsPosition,
 		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
-		overloadTime: max(1, d.OverloadTime), crowdedTill: LongPast, resetAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
-		home: pool{share: 1}, spread: pool{share: 1}, marks: map[uint64]time.Duration{}, floor: LongPast,
+		overloadTime: max(1, d.OverloadTime), crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
+		home: 1, spread: 1, marks: map[uint64]time.Duration{}, floor: LongPast,
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
@@ -291,8 +277,8 @@
 		o.maybeAt = o.sentAt
 	}
 	s.group.owed--
-	if neverRan {
-		g.sentWarm = max(0, g.sentWarm-float64(o.work)) // what was turned away does not show what a server takes
+	if !neverRan && g.ramp(now-g.overloadTime, s) >= 1 {
+		g.sentWarm += float64(o.t.usual()) // what is turned away does not show what a server takes
 	}
 	g.judge(now, s, o, result, took)
 	if final || o.done || result == Acked {
@@ -363,7 +349,7 @@
 	if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
 	} else if !o.held {
-		o.held, o.worth = true, o.t.worth()
+		o.held, o.worth = true, o.t.Value/float64(o.t.usual())
 		if now > o.targetAt {
 			o.worth *= o.t.LateValue
 		}
@@ -392,12 +378,12 @@
 		return g.scout(now, o)
 	}
 	if o.t.Need == Write || o.t.Need == Fresh {
-		if g.home.takes(o) {
+		if o.luck <= g.home {
 			s = home.room(now, o)
 		}
 		return s
 	}
-	if g.spread.takes(o) {
+	if o.luck <= g.spread {
 		// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
 		// reads share the replica that is furthest behind, so that the others stay fresh.
 		if o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
@@ -410,7 +396,7 @@
 			g.ask(now, o)
 		}
 	}
-	if s == nil && now >= o.holdUntil && g.home.takes(o) {
+	if s == nil && now >= o.holdUntil && o.luck <= g.home {
 		s = home.room(now, o)
 	}
 	return s
@@ -533,9 +519,7 @@
 // gateways that each send little do not all begin with one send.
 func (g *Gateway) coldTakes(now time.Duration, o *op, s *server) bool {
 	work, r := float64(o.t.usual()), g.ramp(now-g.overloadTime, s)
-	if o.work = 0; r >= 1 {
-		o.work = o.t.usual()
-		g.sentWarm += work
+	if r >= 1 {
 		return true
 	}
 	if s.allowedAt < s.started {
@@ -611,13 +595,13 @@
 	if now < g.crowdedTill && len(s.owed) == 0 {
 		g.host.CloseIdle(s.id)
 	}
-	switch {
-	case result == Acked:
+	switch result {
+	case Acked:
 		s.wait = 0
-	case result == ServerFull && home: // it answers, so it is not to be looked for elsewhere
-		s.shunnedTill = now + g.brief
-	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
-		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
+	case ServerError, ServerFull, NoConnection, Reset:
+		if result != ServerError || !home { // a primary that fails some is still the only one for writes
+			g.doubt(now, s, false)
+		}
 	}
 	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
 		return // after a pause of its own nobody knows how late an answer came
@@ -630,20 +614,20 @@
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	}
-	p := &g.spread
+	// With many gateways a single server answers too seldom to tell how it fares, so all primaries and all replicas
+	// share what is known. Their share stands still with one answer in four later than half its latency target, or
+	// none. Where a limit can still shrink, or did at the last answer, that is left to it: one bad server is not all.
+	share := &g.spread
 	if home {
-		p = &g.home
+		share = &g.home
 	}
-	p.worth += (o.t.worth() - p.worth) / fullTurn
-	// The share stands still with one answer in four later than half its latency target, or none. Where a
-	// limit can still shrink, or did at the last answer, that is left to it: one bad server is not all of them.
 	if late := took > o.t.Target/2 || result == ServerFull; late && s.limit <= 1 {
 		if s.limit == 1 {
-			p.share *= cut
+			*share *= cut
 		}
 		s.limit *= cut
 	} else if !late {
-		p.share = min(1, p.share*regain)
+		*share = min(1, *share*regain)
 		s.limit = max(s.limit, min(1, s.limit/cut))
 	}
 }
