--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,33 +1,30 @@
 package choice
 
-// A Gateway decides for one gateway. Whoever speaks a protocol (the bench's adapter now, the service's own listener
-// later) makes one with New and calls one method for each thing that happens: List, Op, Answer, Report, ProbeAnswer,
-// ClientGone, Timer. Calls come one at a time, each with the span since the start; inside them the Gateway acts by
-// calling its Host. That interface and the plain types handed over at start are in host.go.
+// A Gateway decides for one gateway. Whoever speaks a protocol (the bench's adapter, later the service's own
+// listener) makes one with New and calls one method for each thing that happens: List, Op, Answer, Report,
+// ProbeAnswer, ClientGone, Timer, each with the span since the start. Inside them the Gateway acts by calling
+// its Host. That interface and the plain types handed over at start are in host.go.
 
 import (
 	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 )
 
 // The few constants are ratios, so that they fit any deployment.
 const (
-	holdShare    = 4    // a session read is held for this part of its latency target; as much is left to a marked retry
+	holdShare    = 4    // part of its latency target that a session read is held, that a marked retry has left
 	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
 	cut          = 0.8  // what a server may owe shrinks so at such an answer
-	sameShare    = 0.02 // shares of the op timeout that differ by less are taken for the same
 	scarce       = 128  // brief waits for which trouble with connections is taken to last
 	pause        = 8    // ticks without a timer that show that the gateway itself stood still
 	regain       = 1.08 // a pool's share grows so at a timely answer
 	startLimit   = 8    // sends owed by a server that nothing is known of
 	fullTurn     = 64   // a histogram is halved at this many entries
-	overdueAfter = 3    // usual answer times after which one answer is overdue: one in twenty, by chance
-	silentAfter  = 6    // usual answer times, over all sends owed, without a word: one in four hundred
+	overdueAfter = 3    // usual answer times after which an answer is overdue; twice that in all is silence
 	answered     = 2    // probes that bring a server back that was set aside
 	probeShare   = 0.25 // probes for each op that came in, beyond those that the design asks for
 	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
@@ -37,40 +34,34 @@
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
-type histogram struct {
-	bins  [8]uint32
-	total uint32
-}
+type histogram [8]uint32
 
 func (h *histogram) add(took, unit time.Duration) {
-	h.bins[min(len(h.bins)-1, bits.Len64(uint64(32*took/max(unit, 1))))]++
-	if h.total++; h.total >= fullTurn {
-		h.total = 0
-		for i := range h.bins {
-			h.bins[i] /= 2
-			h.total += h.bins[i]
+	_, i := math.Frexp(32 * float64(took) / float64(max(unit, 1)))
+	i = max(0, min(len(h)-1, i))
+	if h[i]++; h[i] >= fullTurn/2 {
+		for j := range h {
+			h[j] /= 2
 		}
 	}
 }
 
 // mean is the average, or the unit's quarter where too little is known.
 func (h *histogram) mean(unit time.Duration) time.Duration {
-	if h.total < fullTurn/8 {
-		return unit / 4
-	}
-	sum, middle := 0.0, float64(unit)/32*0.75
-	for _, n := range h.bins {
-		sum += float64(n) * middle
+	count, sum, middle := 0.0, 0.0, float64(unit)/32*0.75
+	for _, n := range h {
+		count, sum = count+float64(n), sum+float64(n)*middle
 		middle *= 2
 	}
-	return time.Duration(sum / float64(h.total))
+	if count < fullTurn/8 {
+		return unit / 4
+	}
+	return time.Duration(sum / count)
 }
 
 type opType struct {
 	OpType
-	tryShare float64   // the share of the op timeout that most tries are given
-	votes    int       // how often that was seen, less other shares
-	took     histogram // answer times as parts of the latency target
+	took histogram // answer times as parts of the latency target
 }
 
 // usual is what an answer to this type takes these days.
@@ -82,12 +73,11 @@
 	group                    *group
 	session                  uint64
 	luck, worth              float64       // whether it falls into a share; its value for a unit of time
-	mark                     time.Duration // the position that a replica must have reached
 	targetAt, holdUntil, due time.Duration // its client's latency target; held for a replica; its client leaves
 	at                       *server       // where a send is out, or nil
 	sends                    int
 	sentAt, waitFrom         time.Duration // the newest send; the same or the end of this gateway's own pause
-	maybeAt                  time.Duration // the first send that may have run; LongPast: none may have
+	mark, maybeAt            time.Duration // the position to see; the first send that may have run, or LongPast
 	held, missed, asked      bool          // a replica turned it away; one was probed for it
 	done                     bool
 }
@@ -101,23 +91,19 @@
 }
 
 type server struct {
-	id                uint32
-	group             *group
-	state             State
-	weight, credit    float64 // credit: in the rotation
-	started           time.Duration
-	role              Role
-	roleAt            time.Duration // how new the newest evidence of the role is
-	pos, behind       time.Duration // the newest position told, it never goes back; its distance from the present
-	owed              []*op         // sends out, oldest first
-	heard             time.Duration // its newest sign of life in answer to a send
-	limit             float64       // sends that it may owe; below one, the chance that an op may be sent
-	cutAt             time.Duration // when the limit last shrank
-	allowed           float64       // work that it may be sent while cold; below 0 it has had more
-	allowedAt         time.Duration
-	needs             int           // probes that it must answer before it is used, at first or after being set aside
-	nextProbe         time.Duration // never while one is out
-	wait, shunnedTill time.Duration // for which it was last passed over, 0 once it has acked; until when
+	id                      uint32
+	group                   *group
+	state                   State
+	role                    Role
+	weight, credit, allowed float64       // in the rotation; work that a cold one may be sent, below 0: had more
+	pos, behind             time.Duration // the newest position told, it never goes back; how far behind it was
+	started, roleAt         time.Duration // roleAt: how new the newest evidence of the role is
+	owed                    []*op         // sends out, oldest first
+	heard, cutAt            time.Duration // its newest sign of life; when the limit last shrank
+	limit                   float64       // sends that it may owe; below one, the chance that an op may be sent
+	allowedAt, nextProbe    time.Duration // nextProbe: never while one is out
+	needs                   int           // probes to be answered before it is used, at first or when set aside
+	wait, shunnedTill       time.Duration // for which it was last passed over, 0 once it has acked; until when
 }
 
 type group struct {
@@ -137,27 +123,24 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief              time.Duration // between looks at the clock; the design's brief wait
-	checked, carried, steady bool          // replicas check reads; session reads tell marks; only probes tell positions
-	probes, cancels, asks    bool          // allowed; allowed; probes tell positions where replicas do not check
-	goneMayRun, marked       bool          // the list's word 'gone' proves nothing; clients mark retries
-	maxSends, firstNeeds     int           // sends for an op; probes that a server answers before it is used
-	tightest, comeBack       time.Duration // bound of any op type; the longest wait a client honours, 0: none is told
-	askAt, askWait           time.Duration // when to ask for the list again, 0: not; between askings
-	coldTime, overloadTime   time.Duration
-	coldFrom, coldMultiple   float64
-	gateways                 float64
-	seed, draws              uint64
-
-	sentWarm, warm       float64       // work sent to warm servers of late; to one of them in a unit of time
-	home, spread         float64       // shares of what is wanted that all primaries, all replicas are sent
-	probing              float64       // probes that may be spent by now
-	timedAt, walkedAt    time.Duration // the last timer; the last that walked all groups
-	pausedAt             time.Duration // when this gateway last found that it had stood still
-	crowdedTill, resetAt time.Duration // connections are taken to be scarce; the last reset
-
-	marks map[uint64]time.Duration // the newest commit by session, as far as kept one by one
-	floor time.Duration            // the newest mark that was dropped
+	tick, brief                      time.Duration // between looks at the clock; the design's brief wait
+	checked, carried, steady         bool          // replicas check reads; reads tell marks; only probes do
+	probes, cancels, asks            bool          // allowed; allowed; for positions
+	goneMayRun                       bool          // the list's word 'gone' proves nothing
+	maxSends, firstNeeds             int           // sends for an op; probes before first use
+	tightest, comeBack               time.Duration // bound; longest wait that a client honours, or 0
+	askAt, askWait                   time.Duration // when to ask for the list again, 0: not; between askings
+	coldTime, overloadTime           time.Duration
+	coldFrom, coldMultiple, gateways float64
+
+	sentWarm, warm              float64       // work sent to warm servers of late; to one, in a unit of time
+	home, spread, probing       float64       // shares that primaries, replicas are sent; probes to be spent
+	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
+	crowdedTill, resetAt        time.Duration // connections are taken to be scarce; the last reset
+
+	seed, draws uint64
+	marks       map[uint64]time.Duration // the newest commit by session, as far as kept one by one
+	floor       time.Duration            // when all marks were last dropped
 }
 
 // New makes a gateway's decision module. The host hands over the cached list next.
@@ -166,11 +149,12 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, steady: d.ReportsPosition && !d.TellsPosition,
-		maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
+		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.ReportsPosition && !d.TellsPosition,
+		goneMayRun: d.OnlyDrainingBinds, maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
-		overloadTime: max(1, d.OverloadTime), crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast, gateways: max(1, float64(d.Gateways)), seed: d.Seed,
-		home: 1, spread: 1, marks: map[uint64]time.Duration{}, floor: LongPast,
+		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
+		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast, floor: LongPast,
+		home: 1, spread: 1, marks: map[uint64]time.Duration{},
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
@@ -183,8 +167,7 @@
 		g.firstNeeds = 1
 	}
 	if d.ListAsked {
-		g.askWait = d.AskWithin / 16
-		g.askAt = g.askWait
+		g.askAt, g.askWait = d.AskWithin/4, d.AskWithin/4
 		h.WatchList()
 	}
 	h.Timer(0, g.tick)
@@ -196,25 +179,10 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	g.mind(now)
 	t := &g.types[kind]
-	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, targetAt: now + t.Target, due: due,
-		mark: math.MaxInt64, maybeAt: LongPast, holdUntil: now + t.Target/holdShare}
-	// Clients give most tries the same part of the op timeout. One that gets another part has what its
-	// client has left since its first try; so that start is known, and what an answer can still earn.
-	switch share := float64(due-now) / float64(max(t.Timeout, 1)); {
-	case math.Abs(share-t.tryShare) < sameShare:
-		t.votes = min(t.votes+1, fullTurn)
-	case now == g.pausedAt && share < t.tryShare: // it came while this gateway stood still
-		o.targetAt = due - time.Duration(t.tryShare*float64(t.Timeout)) + t.Target
-	case t.votes == 0:
-		t.tryShare, t.votes = share, 1
-	case g.marked && !again: // its client has little time, but has not tried before
-		t.votes--
-	default:
-		t.votes--
-		o.targetAt = due - t.Timeout + t.Target
-	}
+	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, mark: math.MaxInt64,
+		maybeAt: LongPast, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
 	if again {
-		o.targetAt = min(o.targetAt, now+t.Target/holdShare)
+		o.targetAt = now + t.Target/holdShare
 	}
 	switch t.Need {
 	case Session:
@@ -246,11 +214,9 @@
 
 // remember keeps the commit position of a session's write. When there are too many, all fold into one
 // floor for every session, so memory is bounded and no read sees less than it must.
-func (g *Gateway) remember(session uint64, pos time.Duration) {
+func (g *Gateway) remember(now time.Duration, session uint64, pos time.Duration) {
 	if len(g.marks) >= rememberedAt {
-		for _, m := range g.marks {
-			g.floor = max(g.floor, m)
-		}
+		g.floor = now
 		clear(g.marks)
 	}
 	g.marks[session] = max(pos, g.markOf(0, session, 0))
@@ -270,7 +236,7 @@
 	s, o.at = o.at, nil
 	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
 	if result == Acked && o.t.Need == Write && pos != LongPast {
-		g.remember(o.session, pos)
+		g.remember(now, o.session, pos)
 	}
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
 	if !neverRan && o.maybeAt == LongPast {
@@ -301,7 +267,7 @@
 	}
 }
 
-// ClientGone is called when a client has left; no answer is owed any more.
+// ClientGone is called when a client has left: no answer is owed any more.
 func (g *Gateway) ClientGone(now time.Duration, id uint32) {
 	if o := g.ops[id]; o != nil {
 		g.end(o)
@@ -314,14 +280,12 @@
 	o.unhold()
 	if o.at == nil {
 		delete(g.ops, o.id)
-	}
-	if o.at != nil && g.cancels {
+	} else if g.cancels {
 		g.host.Cancel(o.id, uint8(o.sends-1))
 	}
 }
 
-// giveUp ends an op that cannot be served any more, at once. Rule 2: the busy reply, which says that
-// trying again is harmless, only where that is so.
+// giveUp ends an op at once. Rule 2: the busy reply, which invites another try, only where that is harmless.
 func (g *Gateway) giveUp(o *op) {
 	if t := o.t; o.maybeAt == LongPast || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
 		g.host.BusyReply(o.id, min(t.Target, g.comeBack))
@@ -350,11 +314,9 @@
 		o.unhold()
 	} else if !o.held {
 		o.held, o.worth = true, o.t.Value/float64(o.t.usual())
-		if now > o.targetAt {
-			o.worth *= o.t.LateValue
-		}
-		i, _ := slices.BinarySearchFunc(o.group.held, o, func(a, b *op) int { return cmp.Compare(b.worth, a.worth) })
-		o.group.held = slices.Insert(o.group.held, i, o)
+		h := o.group.held
+		i, _ := slices.BinarySearchFunc(h, o, func(a, b *op) int { return cmp.Compare(b.worth, a.worth) })
+		o.group.held = slices.Insert(h, i, o)
 	}
 }
 
@@ -392,20 +354,18 @@
 		if s = g.rotate(now, o, o.want(now)); s == nil && g.checked && !o.missed {
 			s = g.furthest(now, o, 1)
 		}
-		if s == nil && now < o.holdUntil {
-			g.ask(now, o)
-		}
 	}
-	if s == nil && now >= o.holdUntil && o.luck <= g.home {
+	if s == nil && now < o.holdUntil {
+		g.ask(now, o)
+	} else if s == nil && o.luck <= g.home {
 		s = home.room(now, o)
 	}
 	return s
 }
 
-// ask probes the replica next in turn for its position, once for a held read, where answers come too seldom
-// to tell one in time: that is no reason to crowd the primary.
+// ask probes a replica for its position, once for a held read, where answers come too seldom to tell it.
 func (g *Gateway) ask(now time.Duration, o *op) {
-	if !g.asks || o.asked || now-o.group.heard <= o.holdUntil-now {
+	if !g.asks || o.asked || o.luck > g.spread || now-o.group.heard <= o.holdUntil-now {
 		return
 	}
 	if s := g.rotate(now, o, LongPast); s != nil && s.nextProbe <= now {
@@ -424,9 +384,7 @@
 	return s
 }
 
-// reached is the position that a server is taken to have reached: what it told, where nothing else keeps
-// rule 5; where replicas check reads themselves, as far behind the present as it last was, since with many
-// gateways the last word of each replica is old.
+// reached is a server's told position; one that checks reads is taken to be as far behind as it last was.
 func (g *Gateway) reached(now time.Duration, s *server) time.Duration {
 	if g.checked {
 		return now - s.behind
@@ -469,9 +427,8 @@
 	return best
 }
 
-// scout finds a member to try a write on while the primary is unknown: in id order, each that has not
-// just said that it is none. After one round of misses a brief wait passes before the next. The last send
-// that an op has is kept for the primary once it is known.
+// scout finds a member to try a write on while the primary is unknown: in id order, each that has not said
+// within a brief wait that it is none. The last send of an op is kept for the primary once it is known.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
 		if o.sends < g.maxSends-1 && s.room(now, o) != nil && !s.overdue(now) &&
@@ -482,8 +439,7 @@
 	return nil
 }
 
-// maySend is rule 2: whether a further send of this op can be allowed. A zone that drops repeats does not
-// help, as members of a group may stand in several.
+// maySend is rule 2. A zone that drops repeats does not help: members of a group may stand in several.
 func (g *Gateway) maySend(now time.Duration, o *op) bool {
 	if o.sends >= g.maxSends || o.maybeAt == LongPast || o.t.Effect == Retryable {
 		return o.sends < g.maxSends
@@ -513,26 +469,24 @@
 	return min(1, g.coldFrom+(1-g.coldFrom)*max(0, float64(now-s.started)/float64(g.coldTime)))
 }
 
-// coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its
-// worst-case capacity, taken from what warm servers take from this gateway on average: all gateways
-// together send those no more than they can do. The allowance starts below zero by chance, so that many
-// gateways that each send little do not all begin with one send.
+// coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its worst-case
+// capacity, taken from what warm servers take from this gateway on average. The allowance starts below zero
+// by chance, so that many gateways that each send little do not all begin with one send.
 func (g *Gateway) coldTakes(now time.Duration, o *op, s *server) bool {
 	work, r := float64(o.t.usual()), g.ramp(now-g.overloadTime, s)
 	if r >= 1 {
 		return true
-	}
-	if s.allowedAt < s.started {
+	} else if s.allowedAt < s.started {
 		s.allowed, s.allowedAt = -g.chance()*work, max(s.started, 0)
 	}
 	rate := g.warm * r * g.coldMultiple * coldCaution
 	s.allowed = min(s.allowed+rate*float64(now-s.allowedAt), rate*float64(g.overloadTime/unspent))
 	s.allowedAt = now
-	if s.allowed < 0 {
-		return false
+	if s.allowed >= 0 {
+		s.allowed -= work
+		return true
 	}
-	s.allowed -= work
-	return true
+	return false
 }
 
 // chance draws from 0 to 1; the same seed and the same events give the same draws.
@@ -542,8 +496,7 @@
 	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
 }
 
-// told takes in what a server says of itself: role and position, the evidence being as old as at. A primary
-// stands at the present, so its position dates its claim.
+// told takes in role and position; at dates the evidence, or a primary's position, as that is the present.
 func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
 	s.pos = max(s.pos, pos)
 	s.behind = now - s.pos
@@ -565,8 +518,7 @@
 	}
 }
 
-// Report is called with what a server's load report says, before the answer that brought it. It may be old: its
-// position is the latest time that it surely speaks of.
+// Report is called before the answer that brought the report; its position is the time that it speaks of.
 func (g *Gateway) Report(now time.Duration, id uint32, role Role, pos time.Duration) {
 	at := pos
 	if pos == LongPast {
@@ -586,8 +538,8 @@
 	case Reset: // a bad way or a dead process, no lack of connections
 		g.resetAt, g.crowdedTill = now, LongPast
 	case NoConnection:
-		// One that is turned away at once, with none reset of late, shows servers that take no more connections:
-		// for a while this gateway leaves none open that it does not use, as the others wait for them.
+		// Turned away at once, with no reset of late: servers take no more connections, so for a while this
+		// gateway leaves none open that it does not use, as the others wait for them.
 		if took < g.brief && now-g.resetAt > scarce*g.brief {
 			g.crowdedTill = now + scarce*g.brief
 		}
@@ -595,13 +547,11 @@
 	if now < g.crowdedTill && len(s.owed) == 0 {
 		g.host.CloseIdle(s.id)
 	}
-	switch result {
-	case Acked:
+	switch {
+	case result == Acked:
 		s.wait = 0
-	case ServerError, ServerFull, NoConnection, Reset:
-		if result != ServerError || !home { // a primary that fails some is still the only one for writes
-			g.doubt(now, s, false)
-		}
+	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
+		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
 	}
 	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
 		return // after a pause of its own nobody knows how late an answer came
@@ -614,9 +564,9 @@
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	}
-	// With many gateways a single server answers too seldom to tell how it fares, so all primaries and all replicas
-	// share what is known. Their share stands still with one answer in four later than half its latency target, or
-	// none. Where a limit can still shrink, or did at the last answer, that is left to it: one bad server is not all.
+	// With many gateways one server answers too seldom to tell how it fares, so all primaries, and all replicas,
+	// have a share in common: it stands still with one answer in four later than half its target, or none. Where
+	// a limit can shrink, or did at the last answer, that is left to it: one bad server is not all of them.
 	share := &g.spread
 	if home {
 		share = &g.home
@@ -632,12 +582,11 @@
 	}
 }
 
-// doubt passes a server over, twice as long for each trouble since it last acked. At a second one in a row,
-// or where it is sure, the server is set aside until it has answered probes. A primary that cannot be
-// reached is tried again, as writes have no other place; and at most half of a group is set aside, as a
-// gateway that finds more than that in trouble is more likely in trouble itself.
+// doubt passes a server over, twice as long for each trouble since it last acked. At a second in a row, or if
+// sure, it is set aside until it has answered probes: no primary that cannot be reached, as writes have no
+// other place, and at most half of a group, as who finds more in trouble is likely in trouble itself.
 func (g *Gateway) doubt(now time.Duration, s *server, sure bool) {
-	if now < s.shunnedTill || s.needs > 0 {
+	if now < s.shunnedTill {
 		return
 	}
 	sure = sure || s.wait > 0 && s != s.group.primary
@@ -649,7 +598,9 @@
 			aside++
 		}
 	}
-	if g.probes && sure && 2*aside <= len(s.group.members) {
+	if s.needs > 0 {
+		s.needs = answered
+	} else if g.probes && sure && 2*aside <= len(s.group.members) {
 		s.needs, s.nextProbe = answered, s.shunnedTill
 		g.host.Log("server set aside")
 	}
@@ -660,15 +611,14 @@
 	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
 }
 
-// silent tells whether a server that owes answers has been quiet for longer than chance explains:
-// hung, dead, cut off or jammed alike. The more it owes, the sooner it shows.
+// silent tells whether a server that owes answers has been quiet for longer than chance explains.
 func (s *server) silent(now time.Duration) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
 		wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
 		sum, longest = sum+wait, max(longest, wait)
 	}
-	return sum > silentAfter && longest > overdueAfter
+	return sum > 2*overdueAfter && longest > overdueAfter
 }
 
 // ProbeAnswer is called once for each probe.
@@ -678,12 +628,9 @@
 		return
 	}
 	defer g.wake(now, s.group)
-	switch unheard := result == NoConnection || result == Reset || result == TimedOut; {
-	case unheard && s.needs == 0:
+	if result == NoConnection || result == Reset || result == TimedOut {
 		g.doubt(now, s, false)
-	case unheard:
-		s.wait, s.needs = min(max(2*s.wait, g.brief/4), 32*g.brief), answered
-	case s.needs > 0: // an error is an answer too: probes may fail at servers that serve
+	} else if s.needs > 0 { // an error is an answer too: probes may fail at servers that serve
 		s.needs--
 	}
 	s.nextProbe = now + max(s.wait, g.brief)
@@ -691,11 +638,10 @@
 
 // List is called with the server list as the host last held it, in full, or with changes to it.
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
-	switch scope {
-	case ListFailed:
+	if scope == ListFailed {
 		g.askAt = now + g.askWait
 		return
-	case ListFull, ListChanges:
+	} else if scope != ListCached {
 		g.askAt = 0
 	}
 	for _, gr := range g.listed {
@@ -713,10 +659,8 @@
 func (g *Gateway) line(now time.Duration, l *Listed) {
 	s := g.servers[l.ID]
 	if s == nil {
-		s = &server{id: l.ID, group: g.group(l.Group), pos: LongPast, roleAt: LongPast, started: l.Started,
-			limit: max(1, startLimit/g.gateways), needs: g.firstNeeds, heard: LongPast,
-			allowedAt: LongPast, credit: -g.chance() * (1 - 1/g.gateways)} // gateways must not all begin at one server
-		g.probing++ // its first
+		s = &server{id: l.ID, group: g.group(l.Group), started: l.Started - 1, pos: LongPast, roleAt: LongPast,
+			heard: LongPast, allowedAt: LongPast, credit: g.chance() * (1/g.gateways - 1)} // a start of its own
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -728,7 +672,7 @@
 	again := s.started != l.Started // it has started again: what was known of it holds no more
 	if again {
 		s.started, s.needs, s.limit = l.Started, g.firstNeeds, max(1, startLimit/g.gateways)
-		g.probing++
+		g.probing++ // its first
 	}
 	s.state, s.weight = l.State, cmp.Or(float64(l.Weight), 1)
 	if (again || s.state != Ready) && s.group.primary == s {
@@ -774,8 +718,7 @@
 			if s.silent(now) {
 				g.doubt(now, s, true)
 			}
-			// Probed is what is to be trusted, or where nothing else tells positions. Probes are rationed by the ops
-			// that came in: with very many gateways or servers they would cost more than the ops.
+			// Probes are rationed by the ops that came in: with many gateways they would cost more than the ops.
 			if g.probes && s.state == Ready && now >= s.nextProbe && (g.steady || s.needs > 0 && g.probing >= 1) {
 				g.probing--
 				s.nextProbe = math.MaxInt64
--- a/choice/host.go
+++ b/choice/host.go
@@ -83,7 +83,6 @@
 	AskWithin         time.Duration // unasked for this long, a gateway is deemed told
 	Checks            Checks
 	TellsPosition     bool          // every answer carries a position
-	RetriesMarked     bool          // clients mark the ops that they try again
 	MarksCarried      bool          // a session read says how old its last write is
 	Probes            bool          // probing is allowed
 	Cancels           bool          // cancelling is allowed
