Keep the strain by kind of machine; let it decide at each server

Answers are now pooled by role and listed kind: what is late on one kind goes to the other, or is held back there only. Also guards against a kind of machine that is bad for some gateways. Harm: a kind with few servers takes longer to learn.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,21 +16,21 @@
 
 // The few constants are ratios, so that they fit any deployment.
 const (
-	holdShare    = 4    // part of its latency target that a session read is held, that a marked retry has left
-	fullShare    = 6    // answers later than this part of the latency target show a queue at the server
-	cut          = 0.8  // what a server may owe shrinks so at such an answer
-	scarce       = 128  // brief waits for which trouble with connections is taken to last
-	pause        = 8    // ticks without a timer that show that the gateway itself stood still
-	regain       = 1.08 // a pool's share grows so at a timely answer
-	startLimit   = 8    // sends owed by a server that nothing is known of
-	fullTurn     = 64   // a histogram is halved at this many entries
-	overdueAfter = 3    // usual answer times after which an answer is overdue; twice that in all is silence
-	answered     = 2    // probes that bring a server back that was set aside
-	probeShare   = 0.25 // probes for each op that came in, beyond those that the design asks for
-	briefShare   = 16   // part of the shortest latency target that counts as a brief wait
-	unspent      = 8    // part of the stated overload time for which a cold server's allowance adds up unused
-	coldCaution  = 0.8  // of the allowance for a cold server that is used: usual times stand in for work
-	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
+	holdShare    = 4      // part of its latency target that a session read is held, that a marked retry has left
+	fullShare    = 6      // answers later than this part of the latency target show a queue at the server
+	cut          = 0.8    // what a server may owe shrinks so at such an answer
+	scarce       = 128    // brief waits for which trouble with connections is taken to last
+	pause        = 8      // ticks without a timer that show that the gateway itself stood still
+	relief       = 1. / 3 // of a strain for a timely answer: it stands still with one late answer in four
+	startLimit   = 8      // sends owed by a server that nothing is known of
+	fullTurn     = 64     // a histogram is halved at this many entries
+	overdueAfter = 3      // usual answer times after which an answer is overdue; twice that in all is silence
+	answered     = 2      // probes that bring a server back that was set aside
+	probeShare   = 0.25   // probes for each op that came in, beyond those that the design asks for
+	briefShare   = 16     // part of the shortest latency target that counts as a brief wait
+	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
+	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
+	rememberedAt = 4096   // session marks kept one by one; beyond that they fold into one floor
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -64,7 +64,6 @@
 	took histogram // answer times as parts of the latency target
 }
 
-// usual is what an answer to this type takes these days.
 func (t *opType) usual() time.Duration { return t.took.mean(t.Target) }
 
 type op struct {
@@ -82,7 +81,7 @@
 	done                     bool
 }
 
-// want is the position that a replica must have reached for this op.
+// want is the position that a replica must have reached.
 func (o *op) want(now time.Duration) time.Duration {
 	if o.t.Need == Bounded {
 		return now - o.t.Bound
@@ -94,6 +93,7 @@
 	id                      uint32
 	group                   *group
 	state                   State
+	kind                    uint8 // of machine, as listed
 	role                    Role
 	weight, credit, allowed float64       // in the rotation; work that a cold one may be sent, below 0: had more
 	pos, behind             time.Duration // the newest position told, it never goes back; how far behind it was
@@ -134,7 +134,8 @@
 	coldFrom, coldMultiple, gateways float64
 
 	sentWarm, warm              float64       // work sent to warm servers of late; to one, in a unit of time
-	home, spread, probing       float64       // shares that primaries, replicas are sent; probes to be spent
+	home, spread                *[256]float64 // the strain on primaries and on replicas, by kind of machine
+	probing                     float64       // probes to be spent
 	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
 	crowdedTill, resetAt        time.Duration // connections are taken to be scarce; the last reset
 
@@ -154,7 +155,7 @@
 		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast, floor: LongPast,
-		home: 1, spread: 1, marks: map[uint64]time.Duration{},
+		home: new([256]float64), spread: new([256]float64), marks: map[uint64]time.Duration{},
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
@@ -193,9 +194,7 @@
 		o.mark = LongPast
 	}
 	g.ops[id] = o
-	if g.probing < fullTurn/4 {
-		g.probing += probeShare
-	}
+	g.probing += probeShare
 	g.place(now, o)
 }
 
@@ -325,7 +324,6 @@
 	o.group.held = slices.DeleteFunc(o.group.held, func(p *op) bool { return p == o })
 }
 
-// wake tries the held ops of a group again.
 func (g *Gateway) wake(now time.Duration, gr *group) {
 	for _, o := range slices.Clone(gr.held) {
 		g.place(now, o)
@@ -336,36 +334,31 @@
 // replicas that are fresh enough; session and bounded reads wait a little for one, then go home.
 func (g *Gateway) choose(now time.Duration, o *op) (s *server) {
 	home := o.group.primary
-	if o.t.Need == Write && (!home.usable() || home.wait > g.brief) {
+	switch {
+	case o.t.Need == Write && (!home.usable() || home.wait > g.brief):
 		return g.scout(now, o)
+	case o.t.Need == Write || o.t.Need == Fresh:
+		return g.room(now, home, o)
 	}
-	if o.t.Need == Write || o.t.Need == Fresh {
-		if o.luck <= g.home {
-			s = home.room(now, o)
-		}
-		return s
+	// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
+	// reads share the replica that is furthest behind, so that the others stay fresh.
+	if o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
+		return g.room(now, g.furthest(now, o, -1), o)
 	}
-	if o.luck <= g.spread {
-		// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
-		// reads share the replica that is furthest behind, so that the others stay fresh.
-		if o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
-			return g.furthest(now, o, -1).room(now, o)
-		}
-		if s = g.rotate(now, o, o.want(now)); s == nil && g.checked && !o.missed {
-			s = g.furthest(now, o, 1)
-		}
+	if s = g.rotate(now, o, o.want(now)); s == nil && g.checked && !o.missed {
+		s = g.furthest(now, o, 1)
 	}
 	if s == nil && now < o.holdUntil {
 		g.ask(now, o)
-	} else if s == nil && o.luck <= g.home {
-		s = home.room(now, o)
+	} else if s == nil {
+		s = g.room(now, home, o)
 	}
 	return s
 }
 
 // ask probes a replica for its position, once for a held read, where answers come too seldom to tell it.
 func (g *Gateway) ask(now time.Duration, o *op) {
-	if !g.asks || o.asked || o.luck > g.spread || now-o.group.heard <= o.holdUntil-now {
+	if !g.asks || o.asked || now-o.group.heard <= o.holdUntil-now {
 		return
 	}
 	if s := g.rotate(now, o, LongPast); s != nil && s.nextProbe <= now {
@@ -376,9 +369,19 @@
 
 func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
 
+// strain is how late all primaries, or all replicas, of a kind of machine have been: with many gateways one
+// server answers too seldom to tell how it fares.
+func (g *Gateway) strain(s *server) *float64 {
+	if s == s.group.primary {
+		return &g.home[s.kind]
+	}
+	return &g.spread[s.kind]
+}
+
 // room returns the server if it is in use and owes less than it takes, below one send by the op's chance.
-func (s *server) room(now time.Duration, o *op) *server {
-	if !s.usable() || now < s.shunnedTill || float64(len(s.owed)) >= s.limit || o.luck > s.limit {
+func (g *Gateway) room(now time.Duration, s *server, o *op) *server {
+	if !s.usable() || now < s.shunnedTill || float64(len(s.owed)) >= s.limit ||
+		o.luck > min(s.limit, math.Pow(cut, *g.strain(s))) {
 		return nil
 	}
 	return s
@@ -397,7 +400,8 @@
 func (g *Gateway) rotate(now time.Duration, o *op, want time.Duration) (best *server) {
 	total, overdue := 0.0, true
 	for _, s := range o.group.members {
-		if s == o.group.primary || g.reached(now, s) < want || s.room(now, o) == nil || !overdue && s.overdue(now) {
+		if s == o.group.primary || g.reached(now, s) < want || g.room(now, s, o) == nil ||
+			!overdue && s.overdue(now) {
 			continue
 		}
 		if overdue && !s.overdue(now) {
@@ -419,7 +423,7 @@
 // furthest is the replica with room that is furthest ahead (way 1), or the warm one furthest behind (-1).
 func (g *Gateway) furthest(now time.Duration, o *op, way time.Duration) (best *server) {
 	for _, s := range o.group.members {
-		fits := way > 0 && s.room(now, o) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
+		fits := way > 0 && g.room(now, s, o) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
 		if s != o.group.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
 			best = s
 		}
@@ -431,7 +435,7 @@
 // within a brief wait that it is none. The last send of an op is kept for the primary once it is known.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
-		if o.sends < g.maxSends-1 && s.room(now, o) != nil && !s.overdue(now) &&
+		if o.sends < g.maxSends-1 && g.room(now, s, o) != nil && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAt > g.brief) {
 			return s
 		}
@@ -564,20 +568,16 @@
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	}
-	// With many gateways one server answers too seldom to tell how it fares, so all primaries, and all replicas,
-	// have a share in common: it stands still with one answer in four later than half its target, or none. Where
-	// a limit can shrink, or did at the last answer, that is left to it: one bad server is not all of them.
-	share := &g.spread
-	if home {
-		share = &g.home
-	}
+	// The strain stands still with one answer in four later than half its latency target, or none. Where a limit
+	// can shrink, or did at the last answer, that is left to it: one bad server is not all of them.
+	strain := g.strain(s)
 	if late := took > o.t.Target/2 || result == ServerFull; late && s.limit <= 1 {
 		if s.limit == 1 {
-			*share *= cut
+			*strain++
 		}
 		s.limit *= cut
 	} else if !late {
-		*share = min(1, *share*regain)
+		*strain = max(0, *strain-relief)
 		s.limit = max(s.limit, min(1, s.limit/cut))
 	}
 }
@@ -674,7 +674,7 @@
 		s.started, s.needs, s.limit = l.Started, g.firstNeeds, max(1, startLimit/g.gateways)
 		g.probing++ // its first
 	}
-	s.state, s.weight = l.State, cmp.Or(float64(l.Weight), 1)
+	s.state, s.kind, s.weight = l.State, l.Kind, cmp.Or(float64(l.Weight), 1)
 	if (again || s.state != Ready) && s.group.primary == s {
 		s.group.primary = nil
 	}
@@ -700,6 +700,7 @@
 		g.askAt = now + g.askWait
 		g.host.WatchList()
 	}
+	g.probing = min(g.probing, float64(fullTurn/4+len(g.servers)))
 	g.sentWarm *= math.Exp(-float64(now-g.timedAt) / float64(g.overloadTime))
 	g.timedAt = now
 	// Groups where nothing is held or out are looked at now and then only: a fleet may be large.
--- a/choice/host.go
+++ b/choice/host.go
@@ -112,6 +112,7 @@
 	ID      uint32
 	Group   uint16
 	Zone    uint8
+	Kind    uint8 // of machine: equal numbers are alike
 	Primary bool
 	State   State
 	Started time.Duration // LongPast where the list does not say
