--- /dev/null
+++ b/cmd/gorsewell/main.go
@@ -0,0 +1,169 @@
+// Command gorsewell is the gateway: it takes ops from clients on a socket and carries each to a database server.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"gorsewell/choice"
+	"gorsewell/internal/clientside"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/discovery"
+	"gorsewell/internal/dispatch"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/serverside"
+)
+
+func main() {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "gorsewell:", err)
+		os.Exit(1)
+	}
+}
+
+// given is what the platform hands a gateway.
+type given struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB int64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    discovery.Page
+	Settings json.RawMessage
+}
+
+func read() (*given, *deployment.Told, error) {
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return nil, nil, errors.New("LB_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	g := &given{}
+	if err := json.Unmarshal(text, g); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"LB_NAME": &g.Name, "LB_LISTEN": &g.Listen, "LB_DISCOVERY": &g.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*field = v
+		}
+		if *field == "" {
+			return nil, nil, fmt.Errorf("%s is not set", name)
+		}
+	}
+	values, err := deployment.FromJSON(g.Settings)
+	if err != nil {
+		return nil, nil, err
+	}
+	told, err := values.Read()
+	if err != nil {
+		return nil, nil, err
+	}
+	if told.Seed, err = strconv.ParseUint(g.Seed, 16, 64); err != nil {
+		return nil, nil, fmt.Errorf("seed %q is no number in hexadecimal form", g.Seed)
+	}
+	if len(told.OpTypes) == 0 {
+		return nil, nil, errors.New("the settings name no op type")
+	}
+	return g, told, nil
+}
+
+// spare is how many descriptors are kept for the standard streams, the listener, discovery and the runtime.
+const spare = 32
+
+func run() error {
+	g, told, err := read()
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(g.Limits.Cores)))
+	if g.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(g.Limits.MemoryMB << 20 * 3 / 4)
+		debug.SetGCPercent(400)
+	}
+	sockets := g.Limits.Sockets
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	clock, counts := exchange.StartClock(), &counters.Set{}
+	names := discovery.NewNames(clock, told)
+	known, addrs, err := names.Listed(&g.Known)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	addr, err := net.ResolveTCPAddr("tcp", g.Listen)
+	if err != nil {
+		return err
+	}
+	stop, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer unhook()
+	work, finish := context.WithCancel(context.Background())
+	defer finish()
+
+	desk := dispatch.New(clock, counts)
+	pool := serverside.New(work, clock, desk, counts, told, (sockets-spare)/2)
+	front := clientside.New(clock, desk, counts, told, (sockets-spare)/2)
+	pool.Locate(addrs)
+	lists := discovery.New(g.Discovery, g.Known.Version, names, told, listed{desk, pool}, counts)
+	desk.Start(pool, lists, &told.Deployment, known)
+	l, err := net.ListenTCP("tcp", addr)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=started name=%s listen=%s", g.Name, g.Listen)
+
+	var group errgroup.Group
+	group.Go(func() error { return desk.Run(work) })
+	group.Go(func() error { return lists.Run(work) })
+	group.Go(pool.Wait)
+	group.Go(func() error { return printCounters(work, counts) })
+	err = front.Serve(stop, l)
+	log.Printf("event=stopping")
+	finish()
+	err = errors.Join(err, group.Wait())
+	log.Printf("event=stopped %s", counts)
+	return err
+}
+
+// listed passes a list on to those who need it: addresses first, as the module may send at once.
+type listed struct {
+	desk *dispatch.Dispatch
+	pool *serverside.Pool
+}
+
+func (l listed) Listed(scope choice.ListScope, servers []choice.Listed, addrs map[uint32]string) {
+	l.pool.Locate(addrs)
+	l.desk.Listed(scope, servers)
+}
+
+// printCounters prints the counters whenever SIGUSR1 asks for them.
+func printCounters(ctx context.Context, counts *counters.Set) error {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-asked:
+			log.Printf("event=counters %s", counts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/clientside/answer.go
@@ -0,0 +1,63 @@
+package clientside
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/pgwire"
+)
+
+// reply is what one command is answered with: bytes, or how an op ends.
+type reply struct {
+	bytes []byte
+	x     *exchange.Exchange
+}
+
+func (c *conn) say(bytes []byte) { c.put(reply{bytes: bytes}) }
+
+func (c *conn) put(r reply) {
+	c.owed.Add(1)
+	c.queue <- r
+}
+
+// answer writes the replies in order, each with one write. After a write that fails the rest is dropped.
+func (c *conn) answer() error {
+	var failed error
+	for r := range c.queue {
+		until := c.front.clock.Now() + c.front.told.ConnectTimeout
+		if r.x != nil {
+			<-r.x.Done
+			until = max(until, r.x.Due)
+			r.bytes = final(r.x)
+		}
+		if failed == nil && len(r.bytes) > 0 {
+			c.net.SetWriteDeadline(c.front.clock.Time(until))
+			if _, failed = c.net.Write(r.bytes); failed != nil {
+				c.net.Close() // a value that is not whole must not look whole
+			}
+		}
+		if c.owed.Add(-1) == 0 && c.front.closing.Load() {
+			c.net.SetReadDeadline(past)
+		}
+	}
+	return errors.Join(failed, c.net.SetWriteDeadline(time.Time{}))
+}
+
+// final is the answer to an op that has ended; none where its client has left.
+func final(x *exchange.Exchange) []byte {
+	switch x.Outcome {
+	case exchange.Acked:
+		return pgwire.AppendReady(x.Answer)
+	case exchange.BusyReplied:
+		hint := ""
+		if x.ComeBackIn > 0 {
+			hint = strconv.FormatInt(x.ComeBackIn.Milliseconds(), 10)
+		}
+		return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "53300", "busy, try again", hint))
+	case exchange.Errored:
+		return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "08007", "gave up, its effect is unknown", ""))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,250 @@
+// Package deployment turns the settings that a gateway is given into what the decision module is told. The
+// bench's adapter and the gateway on sockets both use it, so both tell the module the same.
+package deployment
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"gorsewell/choice"
+)
+
+// Values holds the settings by path, as text; a list of plain values is joined by commas.
+type Values map[string]string
+
+// FromText reads settings that stand as path=value on lines of their own.
+func FromText(text []byte) (Values, error) {
+	v := Values{}
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if line == "" {
+			continue
+		}
+		path, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return nil, fmt.Errorf("setting %q has no value", line)
+		}
+		v[path] = value
+	}
+	return v, nil
+}
+
+// FromJSON reads settings that stand as nested JSON, giving each the path that it has in text.
+func FromJSON(text []byte) (Values, error) {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	var all map[string]any
+	if err := d.Decode(&all); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	v := Values{}
+	v.flatten("", all)
+	return v, nil
+}
+
+func (v Values) flatten(path string, value any) {
+	under := func(name string) string {
+		if path == "" {
+			return name
+		}
+		return path + "." + name
+	}
+	switch x := value.(type) {
+	case nil:
+	case map[string]any:
+		for name, inner := range x {
+			v.flatten(under(name), inner)
+		}
+	case []any:
+		plain := make([]string, 0, len(x))
+		for i, inner := range x {
+			switch inner.(type) {
+			case map[string]any, []any:
+				v.flatten(under(strconv.Itoa(i)), inner)
+				v[under("count")] = strconv.Itoa(len(x))
+			default:
+				plain = append(plain, Plain(fmt.Sprint(inner)))
+			}
+		}
+		if len(plain) == len(x) {
+			v[path] = strings.Join(plain, ",")
+		}
+	default:
+		v[path] = fmt.Sprint(x)
+	}
+}
+
+// Plain is a name as it stands in a list of plain values.
+func Plain(name string) string { return strings.NewReplacer(" ", "_", ",", "_").Replace(name) }
+
+// Told is all that is taken from the settings: what the module is told, and what its surroundings need.
+type Told struct {
+	choice.Deployment
+	Zero           uint64   // clock time from which positions count on the bench's wire
+	ReportNames    []string // of the values in a load report
+	OpTypeNames    []string
+	Zones, Kinds   []string
+	ConnectTimeout time.Duration // within which a connection comes up, or never
+	IdleTime       time.Duration // for which a server keeps an idle connection
+}
+
+// reader picks values by path; the first that does not parse is kept as err.
+type reader struct {
+	Values
+	err error
+}
+
+func (r *reader) fail(path string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("setting %s=%q does not parse", path, r.Values[path])
+	}
+}
+
+func (r *reader) num(path string) float64 {
+	v := r.Values[path]
+	if v == "" {
+		return 0
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		r.fail(path)
+		return 0
+	}
+	return f
+}
+
+// span reads a time in nanoseconds.
+func (r *reader) span(path string) time.Duration {
+	n, err := span(r.Values[path])
+	if err != nil {
+		r.fail(path)
+	}
+	return n
+}
+
+func span(v string) (time.Duration, error) {
+	if v == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err == nil {
+		return time.Duration(n), nil
+	}
+	f, err := strconv.ParseFloat(v, 64) // JSON may write a whole number with a point or an exponent
+	if err != nil || f != math.Trunc(f) || math.Abs(f) >= 1<<63 {
+		return 0, fmt.Errorf("%q is no time in nanoseconds", v)
+	}
+	return time.Duration(f), nil
+}
+
+func (r *reader) flag(path string) bool {
+	switch r.Values[path] {
+	case "true":
+		return true
+	case "", "false":
+	default:
+		r.fail(path)
+	}
+	return false
+}
+
+func (r *reader) list(path string) []string {
+	if r.Values[path] == "" {
+		return nil
+	}
+	return strings.Split(r.Values[path], ",")
+}
+
+// Read picks what is known from the settings. Unknown paths are skipped, missing ones read as zero.
+func (v Values) Read() (*Told, error) {
+	r := &reader{Values: v}
+	t := &Told{
+		Zones:          r.list("zones"),
+		Kinds:          r.list("models"),
+		ConnectTimeout: r.span("limits.connect_timeout"),
+		IdleTime:       r.span("limits.keepalive"),
+		Deployment: choice.Deployment{
+			Gateways:          int(r.num("balancers")),
+			Round:             r.span("round"),
+			ListAsked:         v["registry_mode"] == "on_request",
+			AskWithin:         r.span("rules.must_ask_in"),
+			TellsPosition:     r.flag("family_info.tells_position"),
+			MarksCarried:      v["family_info.write_marks"] == "brought",
+			Probes:            r.flag("limits.probing"),
+			Cancels:           r.flag("limits.may_cancel"),
+			MaxSends:          int(r.num("limits.max_attempts")),
+			OnlyDrainingBinds: r.flag("rules.only_draining_binds"),
+			ColdFrom:          r.num("rules.cold_from"),
+			ColdTime:          r.span("rules.cold"),
+			OverloadFactor:    r.num("rules.overload_factor"),
+			OverloadTime:      r.span("rules.fall"),
+		},
+	}
+	if zero, err := strconv.ParseUint(v["family_info.zero"], 10, 64); err == nil {
+		t.Zero = zero
+	} else if v["family_info.zero"] != "" {
+		r.fail("family_info.zero")
+	}
+	if v["report.via"] == "pull" || v["report.via"] == "piggyback" {
+		t.ReportNames = r.list("report.names")
+	}
+	for _, name := range t.ReportNames {
+		t.ReportsPosition = t.ReportsPosition || name == "x0"
+		t.ReportsRole = t.ReportsRole || name == "x1"
+	}
+	if r.flag("limits.retry_after") {
+		t.MaxComeBack = r.span("limits.max_retry_after")
+	}
+	switch v["family_info.checks"] {
+	case "bounce":
+		t.Checks = choice.Refuses
+	case "await":
+		t.Checks = choice.Waits
+	}
+	r.opTypes(t)
+	return t, r.err
+}
+
+func (r *reader) opTypes(d *Told) {
+	needs, bounds := r.list("family_info.needs_by_class"), r.list("family_info.lag_allowed")
+	for i := range int(min(r.num("classes.count"), 256)) {
+		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
+		t := choice.OpType{
+			Window:    r.span(at("window")),
+			Target:    r.span(at("target")),
+			Timeout:   r.span(at("give_up")),
+			Value:     r.num(at("worth")),
+			LateValue: r.num(at("late_value")),
+		}
+		switch r.Values[at("effect")] {
+		case "retryable":
+			t.Effect = choice.Retryable
+		case "dedup":
+			t.Effect = choice.Tokened
+		}
+		switch r.Values[at("dedup_scope")] {
+		case "all":
+			t.Scope = choice.ScopeAll
+		case "zone":
+			t.Scope = choice.ScopeZone
+		}
+		if i < len(needs) {
+			t.Need = map[string]choice.Need{"strong": choice.Fresh, "causal": choice.Session,
+				"lag_bound": choice.Bounded, "eventual": choice.Any}[needs[i]]
+		}
+		if i < len(bounds) {
+			bound, err := span(bounds[i])
+			if err != nil {
+				r.fail("family_info.lag_allowed")
+			}
+			t.Bound = bound
+		}
+		d.OpTypes = append(d.OpTypes, t)
+		d.OpTypeNames = append(d.OpTypeNames, r.Values[at("name")])
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,235 @@
+// Package discovery keeps up with the list of servers over HTTP.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/exchange"
+)
+
+const maxList = 16 << 20 // bytes of a list
+
+// Page is a list of servers as discovery writes it.
+type Page struct {
+	Version uint64  `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Entry is one server of a list.
+type Entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    uint16  `json:"cell"`
+	State   string  `json:"state"`
+	Role    string  `json:"role"`
+	Weight  float32 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+// Names gives servers, zones and kinds of machine the numbers by which the module knows them.
+type Names struct {
+	clock        exchange.Clock
+	zones, kinds []string
+	servers      map[uint32]string
+}
+
+// NewNames begins with the zones and kinds that the settings name.
+func NewNames(clock exchange.Clock, told *deployment.Told) *Names {
+	return &Names{clock: clock, zones: told.Zones, kinds: told.Kinds, servers: map[uint32]string{}}
+}
+
+// server is the number in an id such as s-5be2a07c, the same at every gateway; other ids are hashed.
+func (n *Names) server(id string) uint32 {
+	number, err := strconv.ParseUint(strings.TrimPrefix(id, "s-"), 16, 32)
+	if err != nil {
+		number = uint64(crc32.ChecksumIEEE([]byte(id)))
+	}
+	for at := uint32(number); ; at++ {
+		if have, ok := n.servers[at]; !ok || have == id {
+			n.servers[at] = id
+			return at
+		}
+	}
+}
+
+func place(names *[]string, name string) uint8 {
+	name = deployment.Plain(name)
+	i := slices.Index(*names, name)
+	if i < 0 {
+		i = len(*names)
+		*names = append(*names, name)
+	}
+	return uint8(i)
+}
+
+// Listed is the page in the module's terms, and the servers' addresses.
+func (n *Names) Listed(p *Page) (listed []choice.Listed, addrs map[uint32]string, err error) {
+	addrs = map[uint32]string{}
+	for _, e := range p.Servers {
+		l := choice.Listed{ID: n.server(e.ID), Group: e.Cell, Zone: place(&n.zones, e.Zone),
+			Kind: place(&n.kinds, e.Kind), Primary: e.Role == "primary", Started: choice.LongPast, Weight: e.Weight}
+		switch e.State {
+		case "in_service":
+			l.State = choice.Ready
+		case "terminating":
+			l.State = choice.Draining
+		case "terminated":
+			l.State = choice.Gone
+		default:
+			return nil, nil, fmt.Errorf("server %q is in unknown state %q", e.ID, e.State)
+		}
+		if e.Started != 0 {
+			l.Started = n.clock.FromUnix(time.Duration(e.Started) * time.Millisecond)
+		}
+		if l.State != choice.Gone {
+			if _, _, err := net.SplitHostPort(e.Addr); err != nil || e.ID == "" {
+				return nil, nil, fmt.Errorf("server %q has address %q", e.ID, e.Addr)
+			}
+			addrs[l.ID] = e.Addr
+		}
+		listed = append(listed, l)
+	}
+	return listed, addrs, nil
+}
+
+// Taker takes what discovery tells, in order.
+type Taker interface {
+	Listed(scope choice.ListScope, listed []choice.Listed, addrs map[uint32]string)
+}
+
+// Client asks discovery. One goroutine, Run, makes all calls one after another.
+type Client struct {
+	base    string
+	names   *Names
+	taker   Taker
+	counts  *counters.Set
+	http    http.Client
+	within  time.Duration // in which a call that does not wait is answered
+	wait    time.Duration // for which a watch waits
+	version uint64
+	ask     chan struct{}
+	watch   chan struct{}
+	failing bool
+}
+
+// New makes a client of the discovery at addr that holds the list of the version.
+func New(addr string, version uint64, names *Names, told *deployment.Told, taker Taker, counts *counters.Set) *Client {
+	c := &Client{base: "http://" + addr + "/v1/servers", names: names, taker: taker, counts: counts,
+		within: told.AskWithin / 4, wait: told.AskWithin, version: version,
+		ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
+	if told.AskWithin <= 0 {
+		c.within, c.wait = 2*time.Second, 20*time.Second
+	}
+	c.http.Transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}
+	return c
+}
+
+// Ask asks for the whole list, without waiting for it.
+func (c *Client) Ask() { poke(c.ask) }
+
+// Watch asks for changes from now on, without waiting for them. It ends with a failed call.
+func (c *Client) Watch() { poke(c.watch) }
+
+func poke(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// Run makes the calls that were asked for until the context ends.
+func (c *Client) Run(ctx context.Context) error {
+	defer c.http.CloseIdleConnections()
+	watching := false
+	for ctx.Err() == nil {
+		if watching {
+			watching = c.call(ctx, "?since="+strconv.FormatUint(c.version, 10)+
+				"&timeout_ms="+strconv.FormatInt(c.wait.Milliseconds(), 10), c.wait+c.within)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.ask:
+			c.call(ctx, "", c.within)
+		case <-c.watch:
+			// The first call does not wait, so that each asking has its answer.
+			watching = c.call(ctx, "?since="+strconv.FormatUint(c.version, 10)+"&timeout_ms=0", c.within)
+		}
+	}
+	return nil
+}
+
+// call makes one call and hands over what it told; false if it failed.
+func (c *Client) call(ctx context.Context, query string, within time.Duration) bool {
+	limited, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	p, err := c.get(limited, query)
+	var listed []choice.Listed
+	var addrs map[uint32]string
+	if err == nil {
+		listed, addrs, err = c.names.Listed(p)
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		c.counts.ListsFailed.Add(1)
+		if !c.failing {
+			log.Printf("event=discovery_failed error=%q", err)
+		}
+		c.failing = true
+		c.taker.Listed(choice.ListFailed, nil, nil)
+		return false
+	}
+	if c.failing {
+		log.Printf("event=discovery_back version=%d", p.Version)
+	}
+	c.failing = false
+	c.counts.Lists.Add(1)
+	c.version = p.Version
+	scope := choice.ListChanges
+	if p.Full {
+		scope = choice.ListFull
+	}
+	c.taker.Listed(scope, listed, addrs)
+	return true
+}
+
+func (c *Client) get(ctx context.Context, query string) (*Page, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, errors.New(answer.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxList))
+	if err != nil {
+		return nil, err
+	}
+	p := &Page{}
+	return p, json.Unmarshal(body, p)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,248 @@
+// Package dispatch runs the decision module: it owns the gateway, its timers and the table of exchanges, turns
+// what happens into calls of the module and carries out what the module wants.
+package dispatch
+
+import (
+	"context"
+	"log"
+	"sync"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/invariant"
+)
+
+// Servers is the server side as the module needs it. No call may block or call back.
+type Servers interface {
+	Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration)
+	Cancel(x *exchange.Exchange, number uint8)
+	Probe(server uint32)
+	CloseIdle(server uint32)
+}
+
+// Discovery is the source of lists as the module needs it. No call may block or call back.
+type Discovery interface {
+	Ask()
+	Watch()
+}
+
+// Dispatch is the host of one gateway's decision module.
+type Dispatch struct {
+	clock     exchange.Clock
+	servers   Servers
+	discovery Discovery
+	counts    *counters.Set
+
+	mu      sync.Mutex // around every call of the module, and all below
+	gateway *choice.Gateway
+	table   map[uint32]*entry
+	last    uint32 // id handed out
+	timers  map[uint32]time.Duration
+	sooner  chan struct{} // a timer was set
+}
+
+// entry is an exchange with the number of sends made for it.
+type entry struct {
+	*exchange.Exchange
+	sends uint8
+}
+
+// New makes the module's host. Start follows once all parts are there.
+func New(clock exchange.Clock, counts *counters.Set) *Dispatch {
+	return &Dispatch{clock: clock, counts: counts, table: map[uint32]*entry{},
+		timers: map[uint32]time.Duration{}, sooner: make(chan struct{}, 1)}
+}
+
+// Start makes the module and hands it the list that was known at the start.
+func (d *Dispatch) Start(s Servers, l Discovery, told *choice.Deployment, known []choice.Listed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers, d.discovery = s, l
+	d.gateway = choice.New(d, told)
+	d.gateway.List(d.clock.Now(), choice.ListCached, known)
+}
+
+// Run calls the module's timers until the context ends.
+func (d *Dispatch) Run(ctx context.Context) error {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.sooner:
+		case <-wake.C:
+		}
+		wake.Reset(d.tick())
+	}
+}
+
+// tick calls the timers that are due and returns how long the next one is off.
+func (d *Dispatch) tick() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	var due []uint32
+	for id, at := range d.timers {
+		if at <= now {
+			due = append(due, id)
+		}
+	}
+	for _, id := range due {
+		delete(d.timers, id)
+		d.gateway.Timer(now, id)
+	}
+	next := time.Hour
+	for _, at := range d.timers {
+		next = min(next, max(0, at-d.clock.Now()))
+	}
+	return next
+}
+
+// Take hands an op over; its time counts from here.
+func (d *Dispatch) Take(x *exchange.Exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.last++
+	for d.table[d.last] != nil {
+		d.last++
+	}
+	x.ID = d.last
+	d.table[x.ID] = &entry{Exchange: x}
+	d.counts.Taken.Add(1)
+	d.counts.Held.Add(1)
+	ago := time.Duration(0) // no last write is told
+	if x.After != choice.LongPast {
+		ago = max(1, now-x.After)
+	}
+	d.gateway.Op(now, x.ID, x.OpType, x.Session, x.Due, x.Statement.Group, ago, x.Statement.Again)
+}
+
+// Left says that an op's client has gone.
+func (d *Dispatch) Left(x *exchange.Exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if x.Outcome == exchange.Held {
+		d.finish(x, exchange.Left)
+		d.gateway.ClientGone(d.clock.Now(), x.ID)
+	}
+}
+
+// finish gives an op its end, once.
+func (d *Dispatch) finish(x *exchange.Exchange, how exchange.Outcome) {
+	invariant.Check(x.Outcome == exchange.Held, "an op ends once")
+	if x.Outcome != exchange.Held {
+		return
+	}
+	x.Outcome = how
+	d.counts.Held.Add(-1)
+	switch how {
+	case exchange.Acked:
+		d.counts.Acked.Add(1)
+	case exchange.BusyReplied:
+		d.counts.BusyReplied.Add(1)
+	case exchange.Errored:
+		d.counts.Errored.Add(1)
+	case exchange.Left:
+		d.counts.Left.Add(1)
+	}
+	close(x.Done)
+	d.forget(x)
+}
+
+// forget drops an exchange of which nothing more can come.
+func (d *Dispatch) forget(x *exchange.Exchange) {
+	if x.Outcome != exchange.Held && !x.Out {
+		delete(d.table, x.ID)
+	}
+}
+
+// SendEnded takes the one result of a send. The first ack goes to the client.
+func (d *Dispatch) SendEnded(x *exchange.Exchange, number uint8, server uint32, e exchange.Ended) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	invariant.Check(x.Out, "a send ends once")
+	x.Out = false
+	if e.Result == choice.Acked && x.Outcome == exchange.Held {
+		x.Answer = e.Answer
+		d.finish(x, exchange.Acked)
+	}
+	d.forget(x)
+	d.report(now, server, e.Report)
+	d.gateway.Answer(now, x.ID, number, server, e.Result, e.Took, x.Outcome != exchange.Held, e.Role, e.Position)
+}
+
+// ProbeEnded takes the one result of a probe.
+func (d *Dispatch) ProbeEnded(server uint32, e exchange.Ended) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.report(now, server, e.Report)
+	d.gateway.ProbeAnswer(now, server, e.Result, e.Took)
+}
+
+func (d *Dispatch) report(now time.Duration, server uint32, r *exchange.Report) {
+	if r != nil {
+		d.gateway.Report(now, server, r.Role, r.Position)
+	}
+}
+
+// Listed hands over what discovery tells.
+func (d *Dispatch) Listed(scope choice.ListScope, listed []choice.Listed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gateway.List(d.clock.Now(), scope, listed)
+}
+
+// Send implements choice.Host, as do all methods below.
+func (d *Dispatch) Send(op, server uint32, timeout time.Duration) {
+	x := d.table[op]
+	invariant.Check(x != nil && x.Outcome == exchange.Held && !x.Out, "a send is for a held op with none out")
+	if x == nil {
+		return
+	}
+	due := x.Due
+	if timeout > 0 {
+		due = min(due, d.clock.Now()+timeout)
+	}
+	x.Out = true
+	x.sends++
+	d.servers.Send(x.Exchange, x.sends-1, server, due)
+}
+
+func (d *Dispatch) BusyReply(op uint32, comeBackIn time.Duration) {
+	if x := d.table[op]; x != nil && x.Outcome == exchange.Held {
+		x.ComeBackIn = comeBackIn
+		d.finish(x.Exchange, exchange.BusyReplied)
+	}
+}
+
+func (d *Dispatch) Error(op uint32) {
+	if x := d.table[op]; x != nil && x.Outcome == exchange.Held {
+		d.finish(x.Exchange, exchange.Errored)
+	}
+}
+
+func (d *Dispatch) Cancel(op uint32, send uint8) {
+	if x := d.table[op]; x != nil && x.Out {
+		d.servers.Cancel(x.Exchange, send)
+	}
+}
+
+func (d *Dispatch) Timer(id uint32, at time.Duration) {
+	d.timers[id] = at
+	select {
+	case d.sooner <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Dispatch) Probe(server uint32)     { d.servers.Probe(server) }
+func (d *Dispatch) AskList()                { d.discovery.Ask() }
+func (d *Dispatch) WatchList()              { d.discovery.Watch() }
+func (d *Dispatch) CloseIdle(server uint32) { d.servers.CloseIdle(server) }
+func (d *Dispatch) Log(line string)         { log.Printf("event=decision what=%q", line) }
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,67 @@
+// Package exchange holds one op from its arrival to its final answer, and what client side and server side
+// share. They meet here only.
+package exchange
+
+import (
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/pgwire"
+)
+
+// Outcome is how an op ended.
+type Outcome uint8
+
+// The outcomes. Held is no end: the op awaits one.
+const (
+	Held Outcome = iota
+	Acked
+	BusyReplied
+	Errored
+	Left // by its client: no answer is owed
+)
+
+// Exchange is one op. The client side fills in what was asked and waits for Done; what is below belongs to
+// the desk until then.
+type Exchange struct {
+	Statement pgwire.Statement // of a copy that the exchange owns
+	OpType    uint8
+	Session   uint64
+	Due       time.Duration // when its client leaves
+	After     time.Duration // the position to see, or choice.LongPast
+
+	Done       chan struct{} // closed at the end
+	ID         uint32
+	Outcome    Outcome
+	ComeBackIn time.Duration // of a busy reply
+	Answer     []byte        // of an acked op: the server's messages up to ReadyForQuery
+	Out        bool          // a send is out
+}
+
+// Ended is how a send or a probe ended.
+type Ended struct {
+	Result   choice.Result
+	Took     time.Duration
+	Role     choice.Role
+	Position time.Duration // or choice.LongPast
+	Answer   []byte
+	Report   *Report
+}
+
+// Report is a server's word on itself, as of the time at which it was made.
+type Report struct {
+	Role     choice.Role
+	Position time.Duration // or choice.LongPast
+}
+
+// Desk takes ops from the client side.
+type Desk interface {
+	Take(x *Exchange) // Done follows
+	Left(x *Exchange) // the client has gone
+}
+
+// Events takes what happens at the server side.
+type Events interface {
+	SendEnded(x *Exchange, number uint8, server uint32, e Ended)
+	ProbeEnded(server uint32, e Ended)
+}
--- /dev/null
+++ b/internal/invariant/debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package invariant
+
+func fail(text string) { panic("broken: " + text) }
--- /dev/null
+++ b/internal/invariant/release.go
@@ -0,0 +1,7 @@
+//go:build !debug
+
+package invariant
+
+import "log"
+
+func fail(text string) { log.Printf("event=broken what=%q", text) }
--- /dev/null
+++ b/internal/pgwire/statement.go
@@ -0,0 +1,99 @@
+package pgwire
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// ErrComment says that a statement lacks the comment that describes the op, or that it cannot be used.
+var ErrComment = errors.New("no usable comment")
+
+// Statement is a query's text taken apart. All slices are of that text.
+type Statement struct {
+	Text            []byte
+	ID, OpType, Key []byte
+	Remaining       uint64 // milliseconds that the client waits
+	Group           uint16
+	After           uint64 // Unix milliseconds of the position to see, 0 where none is told
+	Again           bool   // a client's retry
+	from, to        int    // where the digits of d stand
+}
+
+// Describe reads the quoted key and the comment of a statement.
+func Describe(text []byte) (s Statement, err error) {
+	s.Text = text
+	end := bytes.TrimRight(text, " ;\n")
+	open := bytes.LastIndex(end, []byte("/*"))
+	if open < 0 || !bytes.HasSuffix(end, []byte("*/")) || open+4 > len(end) {
+		return s, ErrComment
+	}
+	at, last := open+2, len(end)-2
+	for at < last {
+		stop := bytes.IndexByte(text[at:last], ',')
+		if stop < 0 {
+			stop = last - at
+		}
+		if err := s.field(at, text[at:at+stop]); err != nil {
+			return s, err
+		}
+		at += stop + 1
+	}
+	if len(s.ID) == 0 || len(s.OpType) == 0 || s.to == 0 {
+		return s, ErrComment
+	}
+	if q := bytes.IndexByte(text[:open], '\''); q >= 0 {
+		if n := bytes.IndexByte(text[q+1:open], '\''); n >= 0 {
+			s.Key = text[q+1 : q+1+n]
+		}
+	}
+	return s, nil
+}
+
+// field reads one name and value of the comment, which stands at the given place in the text.
+func (s *Statement) field(at int, raw []byte) error {
+	name, value, ok := bytes.Cut(bytes.TrimSpace(raw), []byte("="))
+	if !ok {
+		return ErrComment
+	}
+	var n uint64
+	var err error
+	switch string(name) {
+	case "id":
+		s.ID = value
+	case "c":
+		s.OpType = value
+	case "d":
+		n, err = number(value, 32)
+		s.Remaining = n
+		s.from = at + bytes.IndexByte(raw, '=') + 1
+		s.to = s.from + len(value)
+	case "cluster":
+		n, err = number(value, 16)
+		s.Group = uint16(n)
+	case "after":
+		s.After, err = number(value, 53)
+	case "r":
+		s.Again = string(value) == "1"
+	}
+	return err
+}
+
+func number(b []byte, bits int) (uint64, error) {
+	n, err := strconv.ParseUint(string(b), 10, bits)
+	if err != nil {
+		return 0, ErrComment
+	}
+	return n, nil
+}
+
+// AppendStatement appends the query that passes the statement on, unchanged but for the time that remains.
+func (s *Statement) AppendQuery(b []byte, remaining uint64) []byte {
+	start := len(b)
+	b = append(b, Query, 0, 0, 0, 0)
+	b = append(b, s.Text[:s.from]...)
+	b = strconv.AppendUint(b, remaining, 10)
+	b = append(append(b, s.Text[s.to:]...), 0)
+	be.PutUint32(b[start+1:], uint32(len(b)-start-1))
+	return b
+}
--- /dev/null
+++ b/internal/pgwire/window.go
@@ -0,0 +1,47 @@
+package pgwire
+
+// Window is the buffer of one connection: bytes are read into its room and taken as messages, which stay
+// valid until the next call of Room.
+type Window struct {
+	buf        []byte
+	start, end int
+}
+
+const (
+	windowSize = 4 << 10
+	leastRoom  = 512
+)
+
+// Room returns free space to read into.
+func (w *Window) Room() []byte {
+	if w.start == w.end {
+		w.start, w.end = 0, 0
+		if len(w.buf) > windowSize {
+			w.buf = nil // a rare long message does not keep its space
+		}
+	}
+	if len(w.buf)-w.end < leastRoom {
+		held := w.buf[w.start:w.end]
+		if size := max(windowSize, 2*len(held)); size > len(w.buf) {
+			w.buf = make([]byte, size)
+		}
+		w.start, w.end = 0, copy(w.buf, held)
+	}
+	return w.buf[w.end:]
+}
+
+// Filled says that n bytes were read into the room.
+func (w *Window) Filled(n int) { w.end += n }
+
+// Bytes returns what was read and not taken.
+func (w *Window) Bytes() []byte { return w.buf[w.start:w.end] }
+
+// Take drops n bytes from the front.
+func (w *Window) Take(n int) { w.start += n }
+
+// Next takes the next message, if all of it has been read.
+func (w *Window) Next() (m Message, ok bool, err error) {
+	m, n, err := Next(w.Bytes())
+	w.start += n
+	return m, n > 0, err
+}
--- /dev/null
+++ b/internal/serverside/connect.go
@@ -0,0 +1,134 @@
+package serverside
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/pgwire"
+)
+
+// The name and database under which the gateway's own clients come, and so it does.
+const (
+	user     = "portal"
+	database = "crm"
+)
+
+// conn is one connection to a server.
+type conn struct {
+	pool   *Pool
+	server uint32
+	net    net.Conn
+	window pgwire.Window
+	query  []byte // the query being written
+	job    *job   // handed over while idle; guarded by the pool's mutex
+	left   bool   // taken out of the idle list to be closed; guarded by the pool's mutex
+}
+
+// connect opens a connection for the job and then serves with it until it closes.
+func (p *Pool) connect(ctx context.Context, j *job, addr string) {
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.counts.ServerRefused.Add(1)
+		p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+		return
+	}
+	defer nc.Close()
+	p.counts.ServerConns.Add(1)
+	c := &conn{pool: p, server: j.server, net: nc}
+	until, _ := ctx.Deadline()
+	nc.SetDeadline(until)
+	if !p.carry(j, c) || !c.open() {
+		p.counts.ServerRefused.Add(1)
+		p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+		return
+	}
+	for next := j; next != nil; {
+		if !c.serve(next) {
+			return
+		}
+		next = c.rest()
+	}
+}
+
+// carry notes which connection has the job; false if it was given up meanwhile.
+func (p *Pool) carry(j *job, c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.conn = c
+	return !j.cancelled
+}
+
+// open says who comes and reads until the server is ready.
+func (c *conn) open() bool {
+	c.query = pgwire.AppendStartup(c.query[:0], user, database)
+	if _, err := c.net.Write(c.query); err != nil {
+		return false
+	}
+	for {
+		m, err := c.next()
+		switch {
+		case err != nil || m.Type == pgwire.ErrorResponse:
+			return false
+		case m.Type == pgwire.ReadyForQuery:
+			return true
+		case m.Type == pgwire.Authentication && string(m.Body) != "\x00\x00\x00\x00":
+			return false
+		}
+	}
+}
+
+// rest puts the connection among the idle ones and waits for a job; nil if it is to be closed.
+func (c *conn) rest() *job {
+	p := c.pool
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil
+	}
+	// Closed long before the server does it, so that no query crosses the server's close.
+	c.net.SetDeadline(time.Now().Add(p.told.IdleTime / 2))
+	c.job = nil
+	p.idle[c.server] = append(p.idle[c.server], c)
+	p.mu.Unlock()
+	_, err := c.net.Read(c.window.Room()) // nothing is due: a byte or an end closes it, a job ends the wait
+	p.mu.Lock()
+	j := c.job
+	if j == nil && !c.left {
+		p.drop(c)
+	}
+	c.job = nil
+	p.mu.Unlock()
+	if j == nil {
+		return nil
+	}
+	if ne, ok := err.(net.Error); ok && ne.Timeout() && !c.gone() {
+		return j
+	}
+	// The server closed it; as nothing was written the job takes another.
+	p.counts.ServerBroken.Add(1)
+	p.mu.Lock()
+	j.conn = nil
+	p.place(j)
+	p.mu.Unlock()
+	return nil
+}
+
+// drop takes the connection out of the idle list. The mutex is held.
+func (p *Pool) drop(c *conn) {
+	list := p.idle[c.server]
+	for i, other := range list {
+		if other == c {
+			p.idle[c.server] = append(list[:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// quit closes a connection that was taken out of the idle list. The mutex is held.
+func (c *conn) quit() {
+	c.left = true
+	c.net.SetDeadline(past)
+}
--- /dev/null
+++ b/internal/serverside/pool.go
@@ -0,0 +1,243 @@
+// Package serverside carries sends and probes to the database servers and brings back how they ended. Its
+// files follow a send: pool (finds a connection), connect, send, receive.
+package serverside
+
+import (
+	"context"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/invariant"
+)
+
+// Pool holds the connections to all servers. A connection carries one send at a time and belongs to one
+// goroutine, which also watches it while it is idle.
+type Pool struct {
+	clock  exchange.Clock
+	events exchange.Events
+	counts *counters.Set
+	told   *deployment.Told
+	most   int // connections in all
+
+	ctx    context.Context
+	group  *errgroup.Group
+	mu     sync.Mutex // guards all below and the jobs' and connections' fields that say so
+	addrs  map[uint32]string
+	idle   map[uint32][]*conn // the one used last comes last
+	out    map[*exchange.Exchange]*job
+	open   int
+	closed bool
+}
+
+// job is one send, or one probe where x is nil.
+type job struct {
+	x      *exchange.Exchange
+	number uint8
+	server uint32
+	sentAt time.Duration
+	due    time.Duration
+
+	// Guarded by the pool's mutex:
+	cancelled bool
+	conn      *conn              // that carries it, or nil
+	stop      context.CancelFunc // ends its connecting
+}
+
+// New makes a pool for at most most connections. Wait must be called in the end.
+func New(ctx context.Context, clock exchange.Clock, events exchange.Events, counts *counters.Set,
+	told *deployment.Told, most int) *Pool {
+	group, ctx := errgroup.WithContext(ctx)
+	return &Pool{clock: clock, events: events, counts: counts, told: told, most: most, ctx: ctx, group: group,
+		addrs: map[uint32]string{}, idle: map[uint32][]*conn{}, out: map[*exchange.Exchange]*job{}}
+}
+
+// Wait closes all connections once the pool's context has ended, and returns when their goroutines have.
+func (p *Pool) Wait() error {
+	<-p.ctx.Done()
+	p.mu.Lock()
+	p.closed = true
+	for server := range p.idle {
+		p.closeIdle(server)
+	}
+	for _, j := range p.out {
+		p.cancel(j)
+	}
+	p.mu.Unlock()
+	return p.group.Wait()
+}
+
+// Locate tells where servers are. Connections to where they were before are not used again.
+func (p *Pool) Locate(addrs map[uint32]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for server, addr := range addrs {
+		if old, ok := p.addrs[server]; ok && old != addr {
+			p.closeIdle(server)
+		}
+		p.addrs[server] = addr
+	}
+}
+
+// Send starts a send, of which SendEnded tells the result.
+func (p *Pool) Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration) {
+	p.start(&job{x: x, number: number, server: server, due: due})
+}
+
+// Probe starts a probe, of which ProbeEnded tells the result.
+func (p *Pool) Probe(server uint32) {
+	p.counts.Probes.Add(1)
+	p.start(&job{server: server, due: p.clock.Now() + p.told.ConnectTimeout})
+}
+
+func (p *Pool) start(j *job) {
+	j.sentAt = p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j.x != nil {
+		invariant.Check(p.out[j.x] == nil, "one send at a time is out for an op")
+		p.out[j.x] = j
+	}
+	p.place(j)
+}
+
+// place gives the job an idle connection or a new one. The mutex is held.
+func (p *Pool) place(j *job) {
+	if list := p.idle[j.server]; len(list) > 0 {
+		c := list[len(list)-1]
+		p.idle[j.server] = list[:len(list)-1]
+		p.counts.ServerReused.Add(1)
+		c.job, j.conn = j, c
+		c.net.SetReadDeadline(past) // ends the watch of the idle connection
+		return
+	}
+	ctx, stop := context.WithDeadline(p.ctx, p.clock.Time(min(j.sentAt+p.told.ConnectTimeout, j.due)))
+	j.stop = stop
+	full := p.open >= p.most && !p.makeRoom()
+	if !full {
+		p.open++
+		p.counts.ServerOpen.Add(1)
+	}
+	addr := p.addrs[j.server]
+	// A goroutine even where there is nothing to do: the result must not come before this call has returned.
+	p.group.Go(func() error {
+		defer stop()
+		if full || addr == "" {
+			p.end(j, exchange.Ended{Result: choice.NotSent, Position: choice.LongPast})
+			return nil
+		}
+		p.connect(ctx, j, addr)
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		p.counts.ServerOpen.Add(-1)
+		return nil
+	})
+}
+
+// makeRoom closes an idle connection, if there is one. The mutex is held.
+func (p *Pool) makeRoom() bool {
+	for server, list := range p.idle {
+		if len(list) > 0 {
+			p.idle[server] = list[1:]
+			list[0].quit()
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel gives up a send. Its result follows all the same.
+func (p *Pool) Cancel(x *exchange.Exchange, number uint8) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j := p.out[x]; j != nil && j.number == number {
+		p.cancel(j)
+	}
+}
+
+func (p *Pool) cancel(j *job) {
+	j.cancelled = true
+	if j.conn != nil {
+		j.conn.net.SetDeadline(past)
+	} else {
+		j.stop()
+	}
+}
+
+// CloseIdle closes the connections to a server that are not in use.
+func (p *Pool) CloseIdle(server uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(server)
+}
+
+func (p *Pool) closeIdle(server uint32) {
+	for _, c := range p.idle[server] {
+		c.quit()
+	}
+	delete(p.idle, server)
+}
+
+// end tells the one result of a job.
+func (p *Pool) end(j *job, e exchange.Ended) {
+	e.Took = p.clock.Now() - j.sentAt
+	p.mu.Lock()
+	if j.cancelled && e.Result != choice.Acked {
+		e.Result = choice.Cancelled
+	}
+	if j.x != nil {
+		delete(p.out, j.x)
+	}
+	p.mu.Unlock()
+	p.count(j, e.Result)
+	if j.x != nil {
+		p.events.SendEnded(j.x, j.number, j.server, e)
+	} else {
+		p.events.ProbeEnded(j.server, e)
+	}
+}
+
+func (p *Pool) count(j *job, r choice.Result) {
+	c := p.counts
+	if j.x == nil {
+		if r == choice.Acked {
+			c.ProbesAcked.Add(1)
+		}
+		return
+	}
+	switch r {
+	case choice.Acked:
+		c.SendAcked.Add(1)
+	case choice.ServerError:
+		c.SendError.Add(1)
+	case choice.ServerFull:
+		c.SendFull.Add(1)
+	case choice.TimedOut:
+		c.SendTimedOut.Add(1)
+	case choice.NoConnection:
+		c.SendNoConnection.Add(1)
+	case choice.Reset:
+		c.SendReset.Add(1)
+	case choice.Cancelled:
+		c.SendCancelled.Add(1)
+	case choice.NotSent:
+		c.SendNotSent.Add(1)
+	case choice.Miss:
+		c.SendMissed.Add(1)
+	default:
+		log.Printf("event=unknown_result result=%d", r)
+	}
+}
+
+// past is a deadline that has gone by: it ends a read or write at once.
+var past = time.Unix(1, 0)
+
+var dialer = net.Dialer{KeepAlive: -1}
--- /dev/null
+++ b/internal/serverside/receive.go
@@ -0,0 +1,171 @@
+package serverside
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/pgwire"
+)
+
+// next reads one message, which stays valid until the next call.
+func (c *conn) next() (pgwire.Message, error) {
+	for {
+		m, ok, err := c.window.Next()
+		if ok || err != nil {
+			if err != nil {
+				c.pool.counts.MalformedAnswers.Add(1)
+			}
+			return m, err
+		}
+		n, err := c.net.Read(c.window.Room())
+		c.window.Filled(n)
+		if n == 0 && err != nil {
+			return m, err
+		}
+	}
+}
+
+// receive reads the answer to a query that was written whole, up to ReadyForQuery. Its role and position come
+// only there. The connection is whole if it got so far.
+func (c *conn) receive(j *job) (e exchange.Ended, whole bool) {
+	e.Position = choice.LongPast
+	ended := false // one of the messages that end a query has come
+	for {
+		m, err := c.next()
+		if err == nil {
+			err = c.take(j, m, &e, &ended)
+		}
+		if err == errReady {
+			return e, true
+		}
+		if err == nil {
+			continue
+		}
+		var ne net.Error
+		switch {
+		case ended: // the answer is known, only what would follow is not
+		case errors.As(err, &ne) && ne.Timeout():
+			e.Result = choice.TimedOut
+		default:
+			e.Result = choice.Reset
+		}
+		return e, false
+	}
+}
+
+var errReady = errors.New("ready for the next query")
+
+// take looks at one message of an answer.
+func (c *conn) take(j *job, m pgwire.Message, e *exchange.Ended, ended *bool) error {
+	switch m.Type {
+	case pgwire.RowDescription, pgwire.DataRow, pgwire.CommandComplete:
+		if *ended {
+			return c.malformed()
+		}
+		if j.x == nil && m.Type == pgwire.DataRow {
+			value, err := pgwire.Column(m.Body)
+			if err != nil {
+				return c.malformed()
+			}
+			e.Report = c.report(string(value))
+		} else if j.x != nil {
+			e.Answer = pgwire.AppendRaw(e.Answer, m)
+		}
+		*ended = m.Type == pgwire.CommandComplete
+	case pgwire.ErrorResponse:
+		code, err := pgwire.Code(m.Body)
+		if err != nil || *ended {
+			return c.malformed()
+		}
+		*ended = true
+		e.Result = resultOf(string(code))
+	case pgwire.ParameterStatus:
+		name, value, err := pgwire.Parameter(m.Body)
+		if err != nil {
+			return c.malformed()
+		}
+		c.parameter(string(name), string(value), e)
+	case pgwire.NoticeResponse, pgwire.NotificationResp:
+	case pgwire.ReadyForQuery:
+		if !*ended {
+			return c.malformed()
+		}
+		return errReady
+	default:
+		return c.malformed()
+	}
+	return nil
+}
+
+func (c *conn) malformed() error {
+	c.pool.counts.MalformedAnswers.Add(1)
+	return io.ErrUnexpectedEOF
+}
+
+// resultOf tells what an SQLSTATE proves.
+func resultOf(code string) choice.Result {
+	switch code {
+	case "25006", "72000":
+		return choice.Miss
+	case "53300", "57P03":
+		return choice.ServerFull
+	}
+	return choice.ServerError
+}
+
+func (c *conn) parameter(name, value string, e *exchange.Ended) {
+	switch name {
+	case "role":
+		e.Role = roleOf(value)
+	case "applied_ms":
+		if ms, err := strconv.ParseInt(value, 10, 64); err == nil && ms > 0 {
+			e.Position = c.pool.clock.FromUnix(time.Duration(ms) * time.Millisecond)
+		}
+	case "load":
+		e.Report = c.report(value)
+	}
+}
+
+func roleOf(name string) choice.Role {
+	switch name {
+	case "primary":
+		return choice.Primary
+	case "replica":
+		return choice.Replica
+	}
+	return choice.RoleUnknown
+}
+
+// report reads the values of a load report that are known here, as in x0=1767225600.123,x1=1.
+func (c *conn) report(text string) *exchange.Report {
+	r := &exchange.Report{Position: choice.LongPast}
+	seen := false
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0":
+			// The number may have been rounded up: a millisecond less never claims too much.
+			ms := int64(v*1000) - 1
+			r.Position, seen = c.pool.clock.FromUnix(time.Duration(ms)*time.Millisecond), true
+		case "x1":
+			r.Role, seen = choice.Replica, true
+			if v == 1 {
+				r.Role = choice.Primary
+			}
+		}
+	}
+	if !seen {
+		return nil
+	}
+	return r
+}
