--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gorsewell/choice"
+	"gorsewell/internal/deployment"
 )
 
 const (
@@ -205,15 +206,22 @@
 	if err != nil {
 		return err
 	}
-	in := &instance{x: x, who: who, base: x.clock}
-	d, err := in.deployment(text)
+	values, err := deployment.FromText(text)
 	if err != nil {
 		return err
 	}
-	d.Seed = be.Uint64(b[3:])
+	told, err := values.Read()
+	if err != nil {
+		return err
+	}
+	told.Seed = be.Uint64(b[3:])
+	in := &instance{x: x, who: who, base: x.clock, types: len(told.OpTypes), names: told.ReportNames}
+	if told.Zero > 0 {
+		in.zero = in.span(told.Zero)
+	}
 	x.gateways[who] = in
 	defer in.caught(&err)
-	in.gateway = choice.New(in, d)
+	in.gateway = choice.New(in, &told.Deployment)
 	return nil
 }
 
