Count the write deadline of an answer from its op's end: ops that ended at their time-out lost it

A log line at each place that ends a client's connection showed only writes that timed out, all of ops answered at or after the end of their op timeout; malformed bytes and the reader's errors were ruled out by the same lines. At fault: answer() took the time before it waited for the op's end.

--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -26,12 +26,14 @@
 func (c *conn) answer() error {
 	var failed error
 	for r := range c.queue {
-		until := c.front.clock.Now() + c.front.told.ConnectTimeout
 		if r.x != nil {
 			<-r.x.Done
-			until = max(until, r.x.Due)
 			r.bytes = final(r.x)
 		}
+		until := c.front.clock.Now() + c.front.told.ConnectTimeout
+		if r.x != nil {
+			until = max(until, r.x.Due)
+		}
 		if failed == nil && len(r.bytes) > 0 {
 			c.net.SetWriteDeadline(c.front.clock.Time(until))
 			if _, failed = c.net.Write(r.bytes); failed != nil {
