--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,8 +20,13 @@
 	"gorsewell/internal/pgwire"
 )
 
-// lastCalls is for how long after a planned stop begins clients may still arrive: 0.4 s, and a margin.
-const lastCalls = 500 * time.Millisecond
+// What the protocol's page fixes, and what PostgreSQL does by default.
+const (
+	lastCalls     = 500 * time.Millisecond // a planned stop is followed by 0.4 s of arrivals, and a margin
+	crossing      = 20 * time.Millisecond  // for which a connection to be closed is still looked at
+	startupWithin = time.Minute
+	turnedAway    = 16 // connections beyond the most, each of which is told so
+)
 
 // Front is where clients come in.
 type Front struct {
@@ -49,47 +56,51 @@
 // for, and returns when the last one has gone.
 func (f *Front) Serve(ctx context.Context, l *net.TCPListener) error {
 	var group errgroup.Group
-	ended := make(chan struct{})
-	group.Go(func() error {
-		select {
-		case <-ended:
-			return nil
-		case <-ctx.Done():
-		}
-		time.Sleep(lastCalls)
-		f.closing.Store(true)
-		l.Close()
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for c := range f.conns {
-			c.net.SetReadDeadline(past)
-		}
-		return nil
-	})
-	err := f.accept(l, &group)
-	close(ended)
+	stop := context.AfterFunc(ctx, func() { l.SetDeadline(time.Now().Add(lastCalls)) })
+	err := f.accept(ctx, l, &group)
+	stop()
+	l.Close()
+	f.closing.Store(true)
+	f.mu.Lock()
+	for c := range f.conns {
+		c.net.SetReadDeadline(past)
+	}
+	f.mu.Unlock()
 	return errors.Join(err, group.Wait())
 }
 
-func (f *Front) accept(l *net.TCPListener, group *errgroup.Group) error {
-	for {
+// accept takes connections until the listener fails, or its deadline passes after the context's end.
+func (f *Front) accept(ctx context.Context, l *net.TCPListener, group *errgroup.Group) error {
+	for failing := false; ; {
 		nc, err := l.AcceptTCP()
-		if errors.Is(err, net.ErrClosed) && f.closing.Load() {
+		switch {
+		case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && !errors.Is(err, net.ErrClosed) {
+		case err != nil && errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil: // out of descriptors, or a connection that broke before it was taken
+			if !failing {
 				log.Printf("event=accept_failed error=%q", err)
-				time.Sleep(10 * time.Millisecond)
-				continue
 			}
-			return err
+			failing = true
+			time.Sleep(crossing)
+			continue
 		}
+		failing = false
 		f.counts.ClientConns.Add(1)
+		open := f.counts.ClientOpen.Add(1)
+		if open > f.most+turnedAway {
+			f.counts.ClientRefused.Add(1)
+			f.counts.ClientOpen.Add(-1)
+			nc.Close()
+			continue
+		}
 		c := &conn{front: f, net: nc, queue: make(chan reply, queueSize)}
+		f.mu.Lock()
+		f.conns[c] = struct{}{}
+		f.mu.Unlock()
 		group.Go(func() error {
-			c.run()
+			c.run(open > f.most)
 			return nil
 		})
 	}
@@ -101,33 +112,35 @@
 // conn is one client's connection. Its reader owns the window and the list of ops, its answerer the writes.
 type conn struct {
 	front  *Front
-	net    net.Conn
+	net    *net.TCPConn
 	window pgwire.Window
 	queue  chan reply // in the order of the commands
 	open   []*exchange.Exchange
 	owed   atomic.Int32 // replies queued and not written
 }
 
-// run serves the connection until either end closes it.
-func (c *conn) run() {
+// run serves the connection until either end closes it. What was taken is answered first, unless the client
+// has gone.
+func (c *conn) run(full bool) {
 	f := c.front
-	full := f.counts.ClientOpen.Add(1) > f.most
-	defer f.counts.ClientOpen.Add(-1)
-	f.mu.Lock()
-	f.conns[c] = struct{}{}
-	f.mu.Unlock()
-	defer func() {
-		f.mu.Lock()
-		delete(f.conns, c)
-		f.mu.Unlock()
-		c.net.Close()
-	}()
 	var group errgroup.Group
-	group.Go(func() error { return c.answer() })
-	c.read(full)
-	for _, x := range c.open {
-		f.desk.Left(x)
+	group.Go(c.answer)
+	err := c.read(full)
+	if errors.Is(err, errGone) {
+		for _, x := range c.open {
+			f.desk.Left(x)
+		}
 	}
 	close(c.queue)
 	group.Wait()
+	if errors.Is(err, errOver) { // closing on unread bytes would take back what was just written
+		c.net.CloseWrite()
+		c.net.SetReadDeadline(time.Now().Add(crossing))
+		io.Copy(io.Discard, c.net)
+	}
+	c.net.Close()
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	f.counts.ClientOpen.Add(-1)
 }
--- /dev/null
+++ b/internal/clientside/clientside_test.go
@@ -0,0 +1,324 @@
+package clientside
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/pgwire"
+	"gorsewell/internal/standin"
+)
+
+const ask = "SELECT data FROM facts WHERE code = 'k' /* id=1,c=lookup,d=400,cluster=3 */"
+
+// desk takes ops and ends each as the test says; ops that left come up in left.
+type desk struct {
+	mu    sync.Mutex
+	taken []*exchange.Exchange
+	left  chan *exchange.Exchange
+	end   func(x *exchange.Exchange)
+}
+
+func (d *desk) Take(x *exchange.Exchange) {
+	d.mu.Lock()
+	d.taken = append(d.taken, x)
+	d.mu.Unlock()
+	go d.end(x)
+}
+
+func (d *desk) Left(x *exchange.Exchange) { d.left <- x }
+
+func finish(x *exchange.Exchange, how exchange.Outcome) {
+	x.Outcome = how
+	close(x.Done)
+}
+
+func ack(x *exchange.Exchange) {
+	row := standin.Row("v"+string(x.Statement.ID), "primary", 1)
+	x.Answer = row[:len(row)-6] // without ReadyForQuery, which is the front's to add
+	finish(x, exchange.Acked)
+}
+
+// front serves on a port of its own; stop ends it and waits.
+func front(t *testing.T, most int, end func(*exchange.Exchange)) (f *Front, d *desk, addr string, stop func()) {
+	t.Helper()
+	d = &desk{left: make(chan *exchange.Exchange, 8), end: end}
+	told := &deployment.Told{OpTypeNames: []string{"lookup", "save"}, ConnectTimeout: 30 * time.Millisecond}
+	f = New(exchange.StartClock(), d, &counters.Set{}, told, most)
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx, l) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(stop)
+	return f, d, l.Addr().String(), stop
+}
+
+func dial(t *testing.T, addr string) *standin.Client {
+	t.Helper()
+	c, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func expect(t *testing.T, c *standin.Client, want string) {
+	t.Helper()
+	if got, err := c.Answer(); err != nil || got != want {
+		t.Errorf("got %q, %v, want %q", got, err, want)
+	}
+}
+
+func TestStartupAndQueryInAnyPieces(t *testing.T) {
+	_, d, addr, _ := front(t, 8, ack)
+	whole := pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), ask)
+	for _, step := range []int{1, 9, len(whole)} {
+		c, err := standin.Open(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for rest := whole; len(rest) > 0; rest = rest[min(step, len(rest)):] {
+			if err := c.Say(rest[:min(step, len(rest))]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		expect(t, c, "")
+		expect(t, c, "v1")
+	}
+	if x := d.taken[0]; string(x.Statement.Text) != ask || x.OpType != 0 || x.Statement.Group != 3 ||
+		x.After != choice.LongPast {
+		t.Errorf("%+v", x)
+	}
+}
+
+func TestAnswersComeInTheOrderOfTheCommands(t *testing.T) {
+	_, _, addr, _ := front(t, 8, func(x *exchange.Exchange) {
+		if string(x.Statement.ID) == "1" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		ack(x)
+	})
+	c := dial(t, addr)
+	both := pgwire.AppendQuery(pgwire.AppendQuery(nil, ask), strings.Replace(ask, "id=1", "id=2", 1))
+	if err := c.Say(pgwire.AppendQuery(both, ";")); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, c, "v1")
+	expect(t, c, "v2")
+	expect(t, c, "I")
+}
+
+func TestFinalAnswers(t *testing.T) {
+	how := exchange.BusyReplied
+	_, _, addr, _ := front(t, 8, func(x *exchange.Exchange) {
+		x.ComeBackIn = 250 * time.Millisecond
+		finish(x, how)
+	})
+	c := dial(t, addr)
+	if got, err := c.Query(ask); err != nil || got != "C53300D250" {
+		t.Errorf("busy reply: %q, %v", got, err)
+	}
+	how = exchange.Errored
+	if got, err := c.Query(ask); err != nil || got != "C08007" {
+		t.Errorf("error: %q, %v", got, err)
+	}
+}
+
+// On the first scored days an op that ended at its op timeout was never answered: the time to write it had been
+// counted from when it was queued.
+func TestAnOpThatEndsLateIsStillAnswered(t *testing.T) {
+	_, _, addr, _ := front(t, 8, func(x *exchange.Exchange) {
+		time.Sleep(80 * time.Millisecond) // beyond its time and the time for a write
+		finish(x, exchange.Errored)
+	})
+	c := dial(t, addr)
+	if got, err := c.Query(strings.Replace(ask, "d=400", "d=40", 1)); err != nil || got != "C08007" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if got, err := c.Query(";"); err != nil || got != "I" {
+		t.Errorf("afterwards: %q, %v", got, err)
+	}
+}
+
+func TestAClientThatLeavesIsSeen(t *testing.T) {
+	for name, leave := range map[string]func(c *standin.Client){
+		"close":     func(c *standin.Client) { c.Close() },
+		"terminate": func(c *standin.Client) { c.Say(pgwire.AppendMessage(nil, pgwire.Terminate)) },
+	} {
+		_, d, addr, _ := front(t, 8, func(*exchange.Exchange) {})
+		c := dial(t, addr)
+		c.Say(pgwire.AppendQuery(nil, ask))
+		time.Sleep(20 * time.Millisecond)
+		leave(c)
+		select {
+		case x := <-d.left:
+			finish(x, exchange.Left)
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: not seen", name)
+		}
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	long := "Q\x00\x7f\x00\x00"
+	for _, c := range []struct{ name, in, want string }{
+		{"unknown message", "z\x00\x00\x00\x04", "C08P01$"},
+		{"extended query", "P\x00\x00\x00\x04", "C08P01$"},
+		{"length that cannot be", "Q\x00\x00\x00\x01", "C08P01$"},
+		{"query without its last zero", "Q\x00\x00\x00\x05x", "C08P01$"},
+		{"too long", long + strings.Repeat("x", 9000), "C54000$"},
+		{"no comment", string(pgwire.AppendQuery(nil, "SELECT 1")), "C42601"},
+		{"absurd number", string(pgwire.AppendQuery(nil, "/* id=1,c=lookup,d=9e9 */")), "C42601"},
+		{"unknown op type", string(pgwire.AppendQuery(nil, "/* id=1,c=none,d=9 */")), "C22023"},
+	} {
+		f, _, addr, _ := front(t, 8, ack)
+		other, bad := dial(t, addr), dial(t, addr)
+		if err := bad.Say([]byte(c.in)); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := bad.Answer(); err != nil || got != c.want {
+			t.Errorf("%s: %q, %v, want %q", c.name, got, err, c.want)
+		}
+		if n := f.counts.Malformed.Load() + f.counts.Unusable.Load(); n == 0 {
+			t.Errorf("%s: not counted", c.name)
+		}
+		if got, err := other.Query(ask); err != nil || got != "v1" {
+			t.Errorf("%s: the other connection got %q, %v", c.name, got, err)
+		}
+	}
+}
+
+func TestOpsInHandAreAnsweredBeforeAProtest(t *testing.T) {
+	_, d, addr, _ := front(t, 8, func(x *exchange.Exchange) {
+		time.Sleep(30 * time.Millisecond)
+		ack(x)
+	})
+	c := dial(t, addr)
+	c.Say(append(pgwire.AppendQuery(nil, ask), "z\x00\x00\x00\x04"...))
+	expect(t, c, "v1")
+	expect(t, c, "C08P01$")
+	if len(d.left) > 0 {
+		t.Error("the op counts as left")
+	}
+}
+
+func TestOtherOpenings(t *testing.T) {
+	_, _, addr, _ := front(t, 8, ack)
+	c, err := standin.Open(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Say([]byte{0, 0, 0, 8, 4, 210, 22, 47}) // asks for encryption
+	var answer [1]byte
+	if _, err := c.Read(answer[:]); err != nil || answer[0] != 'N' {
+		t.Errorf("%q, %v", answer, err)
+	}
+	c.Say(pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), ask))
+	expect(t, c, "")
+	expect(t, c, "v1")
+	for name, in := range map[string]string{
+		"C08P01$": "GET / HTTP/1.1\r\n\r\n",
+		"$":       "\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x01\x00\x00\x00\x01", // cancels another
+	} {
+		c, err := standin.Open(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.Say([]byte(in))
+		expect(t, c, name)
+	}
+}
+
+func TestConnectionsBeyondTheMostAreToldSo(t *testing.T) {
+	f, _, addr, _ := front(t, 1, ack)
+	first := dial(t, addr)
+	second, err := standin.Open(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	second.Say(pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), ask))
+	expect(t, second, "C53300$")
+	if got, err := first.Query(ask); err != nil || got != "v1" || f.counts.ClientRefused.Load() != 1 {
+		t.Errorf("%q, %v, %d turned away", got, err, f.counts.ClientRefused.Load())
+	}
+}
+
+func TestAStuckClientHoldsUpNobody(t *testing.T) {
+	big := strings.Repeat("x", 60<<10)
+	f, _, addr, _ := front(t, 8, func(x *exchange.Exchange) {
+		x.Answer = pgwire.AppendMessage(nil, pgwire.DataRow, big)
+		finish(x, exchange.Acked)
+	})
+	stuck, other := dial(t, addr), dial(t, addr)
+	stuck.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	query := pgwire.AppendQuery(nil, strings.Replace(ask, "d=400", "d=1", 1))
+	for range 200 { // until neither end takes more; it never reads
+		stuck.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		if stuck.Say(query) != nil {
+			break
+		}
+	}
+	if got, err := other.Query(";"); err != nil || got != "I" {
+		t.Errorf("%q, %v", got, err)
+	}
+	for end := time.Now().Add(5 * time.Second); f.counts.ClientOpen.Load() > 1; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the stuck connection is still open")
+		}
+	}
+}
+
+func TestAPlannedStopAnswersAllThatIsTaken(t *testing.T) {
+	f, _, addr, stop := front(t, 8, func(x *exchange.Exchange) {
+		time.Sleep(150 * time.Millisecond)
+		ack(x)
+	})
+	idle, busy := dial(t, addr), dial(t, addr)
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	time.Sleep(lastCalls / 2)
+	late := dial(t, addr) // clients still arrive, and use what they hold
+	if got, err := late.Query(ask); err != nil || got != "v1" {
+		t.Errorf("a late client got %q, %v", got, err)
+	}
+	if got, err := idle.Query(";"); err != nil || got != "I" {
+		t.Errorf("a held connection got %q, %v", got, err)
+	}
+	time.Sleep(lastCalls/2 - 200*time.Millisecond)
+	busy.Say(pgwire.AppendQuery(nil, ask)) // ends after connections begin to be closed
+	expect(t, busy, "v1")
+	expect(t, busy, "$")
+	expect(t, idle, "$")
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the front has not stopped")
+	}
+	if n := f.counts.ClientOpen.Load(); n != 0 {
+		t.Errorf("%d connections are left open", n)
+	}
+}
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"errors"
-	"net"
+	"os"
 	"slices"
 	"time"
 
@@ -15,73 +15,75 @@
 // queueSize is how many commands of one client may wait for their answers.
 const queueSize = 16
 
-var errGone = errors.New("the client has gone")
+// Why a connection is read no longer.
+var (
+	errGone = errors.New("the client has gone")
+	errOver = errors.New("the connection is to be closed")
+)
 
 // read takes what the client sends until it goes, or is to go.
-func (c *conn) read(full bool) {
-	if !c.startup(full) {
-		return
+func (c *conn) read(full bool) error {
+	c.wait(time.Now().Add(startupWithin))
+	if err := c.startup(full); err != nil {
+		return err
 	}
+	c.wait(time.Time{})
 	for {
 		m, err := c.next()
-		if err != nil {
-			c.protest(err)
-			return
+		switch {
+		case err != nil:
+			return c.protest(err)
+		case m.Type == pgwire.Terminate:
+			return errGone
+		case m.Type != pgwire.Query: // no other command is spoken here
+			return c.protest(pgwire.ErrMalformed)
 		}
-		switch m.Type {
-		case pgwire.Query:
-			if !c.query(m.Body) {
-				return
-			}
-		case pgwire.Terminate:
-			return
-		default: // no other command is spoken here
-			c.protest(pgwire.ErrMalformed)
-			return
+		if err := c.query(m.Body); err != nil {
+			return c.protest(err)
 		}
 	}
 }
 
-// protest answers bytes that cannot be read with a fatal error.
-func (c *conn) protest(err error) {
-	code, text := "08P01", "malformed message"
+// protest answers bytes that cannot be read with a fatal error; any other reason to end passes through.
+func (c *conn) protest(err error) error {
+	code := "08P01"
 	switch err {
 	case pgwire.ErrMalformed, pgwire.ErrVersion:
 	case pgwire.ErrTooLong:
-		code, text = "54000", "message too long"
+		code = "54000"
 		c.front.counts.Unusable.Add(1)
 	default:
-		return
+		return err
 	}
 	c.front.counts.Malformed.Add(1)
-	c.say(pgwire.AppendError(nil, "FATAL", code, text, ""))
+	c.say(pgwire.AppendError(nil, "FATAL", code, err.Error(), ""))
+	return errOver
 }
 
 // startup reads the packet with which a session begins and lets the client in.
-func (c *conn) startup(full bool) bool {
+func (c *conn) startup(full bool) error {
 	for {
 		o, n, err := pgwire.Startup(c.window.Bytes())
 		if err != nil {
-			c.protest(err)
-			return false
+			return c.protest(err)
 		}
 		c.window.Take(n)
 		switch {
 		case n == 0:
-			if c.fill() != nil {
-				return false
+			if err := c.fill(); err != nil {
+				return err
 			}
 		case o == pgwire.OpensEncryption:
 			c.say([]byte{'N'}) // there is none: the client goes on in the clear
 		case o == pgwire.OpensCancel:
-			return false
+			return errOver
 		case full:
 			c.front.counts.ClientRefused.Add(1)
 			c.say(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
-			return false
+			return errOver
 		default:
 			c.say(pgwire.AppendWelcome(nil))
-			return true
+			return nil
 		}
 	}
 }
@@ -99,38 +101,47 @@
 	}
 }
 
-// fill reads more bytes. Once connections are being closed, it ends where the client is owed nothing.
+// fill reads more bytes. A read that ends in time is a sign that connections are being closed: then it gives up
+// where the client is owed nothing and no command of it is on its way.
 func (c *conn) fill() error {
-	for {
+	for last := false; ; {
 		n, err := c.net.Read(c.window.Room())
 		c.window.Filled(n)
-		if n > 0 {
+		switch {
+		case n > 0:
 			return nil
-		}
-		var ne net.Error
-		if !errors.As(err, &ne) || !ne.Timeout() {
-			return errGone
-		}
-		if c.owed.Load() == 0 {
-			return errGone
-		}
-		c.net.SetReadDeadline(time.Time{}) // the answerer ends the wait once nothing is owed
-		if c.owed.Load() == 0 {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return errGone
+		case c.owed.Load() > 0:
+			last = false
+			c.wait(time.Time{})
+		case last:
+			return errOver
+		default:
+			last = true
+			c.net.SetReadDeadline(time.Now().Add(crossing))
 		}
 	}
 }
 
+// wait lets reads wait until then. Once connections are being closed, they do so only while the client is owed
+// something: the answerer ends the wait after the last answer.
+func (c *conn) wait(until time.Time) {
+	c.net.SetReadDeadline(until)
+	if c.front.closing.Load() && c.owed.Load() == 0 {
+		c.net.SetReadDeadline(past)
+	}
+}
+
 // query takes one command.
-func (c *conn) query(body []byte) bool {
+func (c *conn) query(body []byte) error {
 	text, err := pgwire.Text(body)
 	if err != nil {
-		c.protest(err)
-		return false
+		return err
 	}
 	if trimmed := bytes.Trim(text, " ;\n\t"); len(trimmed) == 0 {
 		c.say(pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQuery)))
-		return true
+		return nil
 	}
 	s, err := pgwire.Describe(bytes.Clone(text)) // it outlives the buffer: it may be sent again
 	kind, known := c.front.opTypes[string(s.OpType)]
@@ -141,7 +152,7 @@
 			code, what = "22023", "unknown op type"
 		}
 		c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, what, "")))
-		return true
+		return nil
 	}
 	now := c.front.clock.Now()
 	x := &exchange.Exchange{Statement: s, OpType: kind, Session: session(s.Key), After: choice.LongPast,
@@ -149,19 +160,10 @@
 	if s.After > 0 {
 		x.After = c.front.clock.FromUnix(time.Duration(s.After) * time.Millisecond)
 	}
-	c.open = append(slices.DeleteFunc(c.open, finished), x)
+	c.open = append(slices.DeleteFunc(c.open, (*exchange.Exchange).Ended), x)
 	c.front.desk.Take(x)
 	c.put(reply{x: x})
-	return true
-}
-
-func finished(x *exchange.Exchange) bool {
-	select {
-	case <-x.Done:
-		return true
-	default:
-		return false
-	}
+	return nil
 }
 
 // session is the number of the session that a key names.
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -89,7 +89,7 @@
 	ReportNames    []string // of the values in a load report
 	OpTypeNames    []string
 	Zones, Kinds   []string
-	ConnectTimeout time.Duration // within which a connection comes up, or never
+	ConnectTimeout time.Duration // within which a connection comes up, or never; else the longest op timeout
 	IdleTime       time.Duration // for which a server keeps an idle connection
 }
 
@@ -244,6 +244,9 @@
 			}
 			t.Bound = bound
 		}
+		if r.Values["limits.connect_timeout"] == "" {
+			d.ConnectTimeout = max(d.ConnectTimeout, t.Timeout)
+		}
 		d.OpTypes = append(d.OpTypes, t)
 		d.OpTypeNames = append(d.OpTypeNames, r.Values[at("name")])
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,6 +38,16 @@
 	Out        bool          // a send is out
 }
 
+// Ended tells whether the op has its final answer.
+func (x *Exchange) Ended() bool {
+	select {
+	case <-x.Done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ended is how a send or a probe ended.
 type Ended struct {
 	Result   choice.Result
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -119,14 +119,14 @@
 
 // pair reads a name and its value, each ended by a zero byte; an empty name has no value.
 func pair(b []byte) (name, value, rest []byte, err error) {
-	if name, rest, err = text(b); err == nil && len(name) > 0 {
-		value, rest, err = text(rest)
+	if name, rest, err = CutText(b); err == nil && len(name) > 0 {
+		value, rest, err = CutText(rest)
 	}
 	return name, value, rest, err
 }
 
-// text reads a string ended by a zero byte.
-func text(b []byte) (s, rest []byte, err error) {
+// CutText reads a string ended by a zero byte.
+func CutText(b []byte) (s, rest []byte, err error) {
 	for i, c := range b {
 		if c == 0 {
 			return b[:i], b[i+1:], nil
@@ -137,7 +137,7 @@
 
 // Text reads a body that is one string, as a query's is.
 func Text(body []byte) ([]byte, error) {
-	s, rest, err := text(body)
+	s, rest, err := CutText(body)
 	if err == nil && len(rest) > 0 {
 		err = ErrMalformed
 	}
@@ -155,7 +155,7 @@
 // Code reads the SQLSTATE from the body of an ErrorResponse.
 func Code(body []byte) (code []byte, err error) {
 	for len(body) > 0 && body[0] != 0 {
-		value, rest, err := text(body[1:])
+		value, rest, err := CutText(body[1:])
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,194 @@
+package pgwire
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+const insert = `INSERT INTO facts (code, data) VALUES ('7f3a9c21', '\x9f03') RETURNING data ` +
+	`/* id=9b1f03aa,c=order,d=480,k=5c0f6e1a,cluster=2 */`
+
+func TestMessagesParseHoweverTheyAreSplit(t *testing.T) {
+	stream := AppendQuery(nil, "SELECT 1")
+	stream = AppendReady(AppendMessage(stream, ErrorResponse, strings.Repeat("x", 9000)))
+	for _, step := range []int{1, 2, 3, 7, 4096, len(stream)} {
+		var w Window
+		var got []string
+		for rest := stream; len(rest) > 0; {
+			n := copy(w.Room(), rest[:min(step, len(rest))])
+			w.Filled(n)
+			rest = rest[n:]
+			for {
+				m, ok, err := w.Next()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !ok {
+					break
+				}
+				got = append(got, string(m.Type)+string(m.Body))
+			}
+		}
+		want := []string{"QSELECT 1\x00", "E" + strings.Repeat("x", 9000), "ZI"}
+		if strings.Join(got, "|") != strings.Join(want, "|") {
+			t.Errorf("steps of %d: got %d messages, %.40q", step, len(got), got)
+		}
+	}
+}
+
+func TestMessageLengthsThatCannotBe(t *testing.T) {
+	for _, c := range []struct {
+		in   string
+		want error
+	}{
+		{"Q\x00\x00\x00\x03", ErrMalformed},
+		{"Q\xff\xff\xff\xff", ErrTooLong},
+		{"Q\x00\x02\x80\x01", ErrTooLong},
+		{"Q\x00\x02\x80\x00", nil}, // the longest: the rest is awaited
+		{"Q\x00", nil},
+	} {
+		if _, n, err := Next([]byte(c.in)); err != c.want || n != 0 {
+			t.Errorf("%q: size %d, %v, want %v", c.in, n, err, c.want)
+		}
+	}
+}
+
+func TestStartup(t *testing.T) {
+	good := AppendStartup(nil, "portal", "crm")
+	for _, c := range []struct {
+		name string
+		in   []byte
+		want Opening
+		size int
+		err  error
+	}{
+		{"session with a query behind it", append(bytes.Clone(good), 'Q'), OpensSession, len(good), nil},
+		{"part", good[:len(good)-1], OpensSession, 0, nil},
+		{"three bytes", good[:3], OpensSession, 0, nil},
+		{"encryption", []byte{0, 0, 0, 8, 4, 210, 22, 47}, OpensEncryption, 8, nil},
+		{"GSS encryption", []byte{0, 0, 0, 8, 4, 210, 22, 48}, OpensEncryption, 8, nil},
+		{"cancel", []byte{0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2}, OpensCancel, 16, nil},
+		{"version 2", []byte{0, 0, 0, 8, 0, 2, 0, 0}, OpensSession, 0, ErrVersion},
+		{"too short", []byte{0, 0, 0, 7}, OpensSession, 0, ErrMalformed},
+		{"too long", []byte{0, 0, 0x27, 0x11}, OpensSession, 0, ErrMalformed},
+		{"no user", []byte{0, 0, 0, 9, 0, 3, 0, 0, 0}, OpensSession, 0, ErrMalformed},
+		{"no last zero", []byte{0, 0, 0, 14, 0, 3, 0, 0, 'u', 's', 'e', 'r', 0, 'x'}, OpensSession, 0, ErrMalformed},
+		{"HTTP", []byte("GET / HTTP/1.1\r\n"), OpensSession, 0, ErrMalformed},
+	} {
+		o, n, err := Startup(c.in)
+		if o != c.want || n != c.size || err != c.err {
+			t.Errorf("%s: %d, size %d, %v", c.name, o, n, err)
+		}
+	}
+}
+
+func TestStatementIsTakenApart(t *testing.T) {
+	s, err := Describe([]byte(insert))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(s.ID) != "9b1f03aa" || string(s.OpType) != "order" || string(s.Key) != "7f3a9c21" ||
+		s.Remaining != 480 || s.Group != 2 || s.After != 0 || s.Again {
+		t.Errorf("%+v", s)
+	}
+	s, err = Describe([]byte(`SELECT data FROM facts WHERE code = 'a' /* id=1,c=b,d=5,r=1,after=1767225600123 */;`))
+	if err != nil || s.After != 1767225600123 || !s.Again || s.Group != 0 {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+func TestOnlyTheRemainingTimeChanges(t *testing.T) {
+	s, err := Describe([]byte(insert))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, n, err := Next(s.AppendQuery(nil, 77))
+	want := strings.Replace(insert, "d=480", "d=77", 1) + "\x00"
+	if err != nil || n != len(want)+5 || m.Type != Query || string(m.Body) != want {
+		t.Errorf("%q, size %d, %v", m.Body, n, err)
+	}
+}
+
+func TestUnusableComments(t *testing.T) {
+	for _, text := range []string{"", "SELECT 1", "/*", "/*/", "*/", "/**/", "SELECT 1 /* id=1,c=b */", "/* id=1,d=5 */",
+		"/* c=b,d=5 */", "/* id=1,c=b,d=-5 */", "/* id=1,c=b,d= */", "/* id=1,c=b,d=99999999999 */",
+		"/* id=1,c=b,d=5,cluster=70000 */", "/* id=1,c=b,d=5,after=x */", "/* id=1,c=b,d=5 */ SELECT 1", "/* id=1,c=b,d=5,z */"} {
+		if _, err := Describe([]byte(text)); !errors.Is(err, ErrComment) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func TestBodies(t *testing.T) {
+	m, _, _ := Next(AppendError(nil, "ERROR", "53300", "busy", "250"))
+	if code, err := Code(m.Body); err != nil || string(code) != "53300" {
+		t.Errorf("code %q, %v", code, err)
+	}
+	for _, bad := range []string{"", "C53300\x00", "C533\x00\x00", "Mx\x00\x00", "C53300"} {
+		if code, err := Code([]byte(bad)); err != ErrMalformed {
+			t.Errorf("%q: code %q, %v", bad, code, err)
+		}
+	}
+	if name, value, err := Parameter([]byte("role\x00primary\x00")); err != nil || string(name) != "role" ||
+		string(value) != "primary" {
+		t.Errorf("%q=%q, %v", name, value, err)
+	}
+	for _, bad := range []string{"", "role", "role\x00", "role\x00a", "role\x00a\x00b", "\x00\x00"} {
+		if _, _, err := Parameter([]byte(bad)); err != ErrMalformed {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+	if v, err := Column([]byte("\x00\x01\x00\x00\x00\x02ab")); err != nil || string(v) != "ab" {
+		t.Errorf("%q, %v", v, err)
+	}
+	for _, bad := range []string{"", "\x00\x02\x00\x00\x00\x02ab", "\x00\x01\x00\x00\x00\x03ab", "\x00\x01\xff\xff\xff\xff"} {
+		if _, err := Column([]byte(bad)); err != ErrMalformed {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add(AppendReady(AppendError(AppendQuery(nil, insert), "ERROR", "53300", "busy", "5")))
+	f.Add(AppendStartup(nil, "portal", "crm"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, n, err := Startup(b); n > len(b) || n > 0 && err != nil {
+			t.Errorf("startup of %d bytes, %v", n, err)
+		}
+		for rest := b; ; {
+			m, n, err := Next(rest)
+			if n == 0 || err != nil {
+				return
+			}
+			if again := AppendRaw(nil, m); !bytes.Equal(again, rest[:n]) {
+				t.Errorf("%q became %q", rest[:n], again)
+			}
+			Code(m.Body)
+			Parameter(m.Body)
+			Column(m.Body)
+			Text(m.Body)
+			rest = rest[n:]
+		}
+	})
+}
+
+func FuzzStatement(f *testing.F) {
+	f.Add([]byte(insert))
+	f.Add([]byte("/* id=1,c=b,d=5 */"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Describe(text)
+		if err != nil {
+			return
+		}
+		m, _, err := Next(s.AppendQuery(nil, s.Remaining))
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Describe(m.Body[:len(m.Body)-1])
+		if err != nil || again.Remaining != s.Remaining || !bytes.Equal(again.ID, s.ID) {
+			t.Errorf("%q became %q, %v", text, m.Body, err)
+		}
+	})
+}
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -45,11 +45,16 @@
 		p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
 		return
 	}
-	for next := j; next != nil; {
-		if !c.serve(next) {
+	for j != nil {
+		e, whole := c.serve(j)
+		if whole {
+			c.free(j) // before the result is told, as that may bring the next job
+		}
+		p.end(j, e)
+		if !whole {
 			return
 		}
-		next = c.rest()
+		j = c.rest()
 	}
 }
 
@@ -80,19 +85,29 @@
 	}
 }
 
-// rest puts the connection among the idle ones and waits for a job; nil if it is to be closed.
-func (c *conn) rest() *job {
+// free puts the connection among the idle ones. Its job can no longer be cancelled.
+func (c *conn) free(j *job) {
 	p := c.pool
 	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return nil
+	defer p.mu.Unlock()
+	delete(p.out, j.x)
+	c.job = nil
+	if c.left = p.closed; c.left {
+		c.net.SetDeadline(past)
+		return
 	}
 	// Closed long before the server does it, so that no query crosses the server's close.
-	c.net.SetDeadline(time.Now().Add(p.told.IdleTime / 2))
-	c.job = nil
+	var until time.Time
+	if p.told.IdleTime > 0 {
+		until = time.Now().Add(p.told.IdleTime / 2)
+	}
+	c.net.SetDeadline(until)
 	p.idle[c.server] = append(p.idle[c.server], c)
-	p.mu.Unlock()
+}
+
+// rest waits for a job; nil if the connection is to be closed.
+func (c *conn) rest() *job {
+	p := c.pool
 	_, err := c.net.Read(c.window.Room()) // nothing is due: a byte or an end closes it, a job ends the wait
 	p.mu.Lock()
 	j := c.job
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -120,16 +120,16 @@
 	}
 	ctx, stop := context.WithDeadline(p.ctx, p.clock.Time(min(j.sentAt+p.told.ConnectTimeout, j.due)))
 	j.stop = stop
-	full := p.open >= p.most && !p.makeRoom()
-	if !full {
+	addr := p.addrs[j.server]
+	opens := addr != "" && (p.open < p.most || p.makeRoom())
+	if opens {
 		p.open++
 		p.counts.ServerOpen.Add(1)
 	}
-	addr := p.addrs[j.server]
-	// A goroutine even where there is nothing to do: the result must not come before this call has returned.
+	// A goroutine even where none opens: the result must not come before this call has returned.
 	p.group.Go(func() error {
 		defer stop()
-		if full || addr == "" {
+		if !opens {
 			p.end(j, exchange.Ended{Result: choice.NotSent, Position: choice.LongPast})
 			return nil
 		}
--- a/internal/serverside/receive.go
+++ b/internal/serverside/receive.go
@@ -93,7 +93,7 @@
 		c.parameter(string(name), string(value), e)
 	case pgwire.NoticeResponse, pgwire.NotificationResp:
 	case pgwire.ReadyForQuery:
-		if !*ended {
+		if !*ended || len(c.window.Bytes()) > 0 {
 			return c.malformed()
 		}
 		return errReady
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -8,34 +8,35 @@
 	"gorsewell/internal/pgwire"
 )
 
-// serve carries one job; false if the connection must not be used again.
-func (c *conn) serve(j *job) bool {
+// serve carries one job. The connection must not be used again unless it is whole.
+func (c *conn) serve(j *job) (e exchange.Ended, whole bool) {
 	p := c.pool
-	p.mu.Lock()
-	cancelled := j.cancelled
-	if !cancelled {
-		c.net.SetDeadline(p.clock.Time(j.due))
-	}
-	p.mu.Unlock()
-	if cancelled {
-		p.end(j, exchange.Ended{Result: choice.Cancelled, Position: choice.LongPast})
-		return true
+	if !c.ready(j) {
+		return exchange.Ended{Result: choice.NotSent, Position: choice.LongPast}, true
 	}
 	c.write(j)
 	if n, err := c.net.Write(c.query); err != nil || n < len(c.query) {
 		p.counts.ServerBroken.Add(1)
-		p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
-		return false
+		return exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast}, false
 	}
 	if j.x != nil {
 		p.counts.Sent.Add(1)
 	}
-	e, whole := c.receive(j)
-	if !whole {
+	if e, whole = c.receive(j); !whole {
 		p.counts.ServerBroken.Add(1)
 	}
-	p.end(j, e)
-	return whole
+	return e, whole
+}
+
+// ready gives the connection the job's time. It is false for a job that was given up or whose op has ended.
+func (c *conn) ready(j *job) bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if j.cancelled || j.x != nil && j.x.Ended() {
+		return false
+	}
+	c.net.SetDeadline(c.pool.clock.Time(j.due))
+	return true
 }
 
 // write makes the one write of the job's query.
--- /dev/null
+++ b/internal/serverside/serverside_test.go
@@ -0,0 +1,334 @@
+package serverside
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/pgwire"
+	"gorsewell/internal/standin"
+)
+
+// ends collects how sends and probes end.
+type ends chan exchange.Ended
+
+func (e ends) SendEnded(_ *exchange.Exchange, _ uint8, _ uint32, r exchange.Ended) { e <- r }
+func (e ends) ProbeEnded(_ uint32, r exchange.Ended)                               { e <- r }
+
+func (e ends) next(t *testing.T) exchange.Ended {
+	t.Helper()
+	select {
+	case r := <-e:
+		return r
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing has ended")
+		panic("not reached")
+	}
+}
+
+const server = 7
+
+// pool is a pool with one server, at which the database answers.
+func pool(t *testing.T, most int, d *standin.Database) (*Pool, ends) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go d.Serve(l)
+	told := &deployment.Told{ConnectTimeout: 200 * time.Millisecond, IdleTime: time.Second, ReportNames: []string{"x0", "x1"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := make(ends, 16)
+	p := New(ctx, exchange.StartClock(), e, &counters.Set{}, told, most)
+	p.Locate(map[uint32]string{server: l.Addr().String()})
+	t.Cleanup(func() {
+		l.Close()
+		cancel()
+		p.Wait()
+		if n := p.counts.ServerOpen.Load(); n != 0 {
+			t.Errorf("%d connections are left open", n)
+		}
+	})
+	return p, e
+}
+
+func op(t *testing.T) *exchange.Exchange {
+	t.Helper()
+	s, err := pgwire.Describe([]byte("SELECT data FROM facts WHERE code = 'k' /* id=1,c=lookup,d=400,cluster=3 */"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &exchange.Exchange{Statement: s, Done: make(chan struct{})}
+}
+
+func (p *Pool) soon() time.Duration { return p.clock.Now() + 5*time.Second }
+
+func TestAnAckBringsValueRoleAndPosition(t *testing.T) {
+	at := time.Now().Add(-3 * time.Second).UnixMilli()
+	asked := make(chan string, 4)
+	p, e := pool(t, 8, &standin.Database{Answer: func(q string) ([]byte, bool) {
+		asked <- q
+		return standin.Row("value", "replica", at), true
+	}})
+	for i := range 2 {
+		before := p.clock.Now()
+		p.Send(op(t), uint8(i), server, before+300*time.Millisecond)
+		r := e.next(t)
+		whole := standin.Row("value", "replica", at)
+		row, _, _ := strings.Cut(string(whole), "S\x00\x00\x00\x11role")
+		if r.Result != choice.Acked || r.Role != choice.Replica || string(r.Answer) != row {
+			t.Errorf("%+v", r)
+		}
+		if ago := before - r.Position; ago < 2*time.Second || ago > 4*time.Second {
+			t.Errorf("the position is %v ago", ago)
+		}
+		if q := <-asked; !strings.Contains(q, "id=1,c=lookup,d=") || strings.Contains(q, "d=400") {
+			t.Errorf("asked %q", q)
+		}
+	}
+	if p.counts.ServerConns.Load() != 1 || p.counts.ServerReused.Load() != 1 || p.counts.Sent.Load() != 2 {
+		t.Errorf("%s", p.counts)
+	}
+}
+
+func TestWhatAnswersProve(t *testing.T) {
+	row := standin.Row("v", "primary", 1)
+	for _, c := range []struct {
+		name   string
+		answer []byte
+		stays  bool
+		want   choice.Result
+	}{
+		{"no primary", standin.Failure("25006", "replica", 5), true, choice.Miss},
+		{"too far behind", standin.Failure("72000", "replica", 5), true, choice.Miss},
+		{"full", standin.Failure("53300", "replica", 5), true, choice.ServerFull},
+		{"error", standin.Failure("XX000", "replica", 5), true, choice.ServerError},
+		{"break without a word", nil, false, choice.Reset},
+		{"break inside the row", row[:20], false, choice.Reset},
+		{"break before the role", row[:len(row)-40], false, choice.Acked},
+		{"full and gone", pgwire.AppendError(nil, "FATAL", "53300", "", ""), false, choice.ServerFull},
+		{"not a message", []byte("\xff\x00\x00\x00\x00"), true, choice.Reset},
+		{"ready too early", pgwire.AppendReady(nil), true, choice.Reset},
+		{"a role without an end", pgwire.AppendMessage(nil, pgwire.ParameterStatus, "role"), true, choice.Reset},
+		{"silence", nil, true, choice.TimedOut},
+	} {
+		p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return c.answer, c.stays }})
+		p.Send(op(t), 0, server, p.clock.Now()+300*time.Millisecond)
+		if r := e.next(t); r.Result != c.want {
+			t.Errorf("%s: %d, want %d", c.name, r.Result, c.want)
+		}
+	}
+}
+
+func TestConnectionsThatDoNotComeUp(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused.Close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	p, e := pool(t, 8, &standin.Database{Welcome: pgwire.AppendError(nil, "FATAL", "53300", "too many", "")})
+	p.Locate(map[uint32]string{8: refused.Addr().String(), 9: silent.Addr().String()})
+	for _, at := range []uint32{server, 8, 9} {
+		p.Send(op(t), 0, at, p.soon())
+		r := e.next(t)
+		if r.Result != choice.NoConnection || at == 9 != (r.Took > p.told.ConnectTimeout/2) || r.Took > time.Second {
+			t.Errorf("server %d: %+v", at, r)
+		}
+	}
+	if p.counts.Sent.Load() != 0 {
+		t.Error("something was sent")
+	}
+}
+
+func TestAServersCloseOfAnIdleConnectionIsSeenBeforeReuse(t *testing.T) {
+	var asked atomic.Int32
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) {
+		return standin.Row("v", "replica", 1), asked.Add(1) > 1 // the first is closed after its answer
+	}})
+	for range 2 {
+		p.Send(op(t), 0, server, p.soon())
+		if r := e.next(t); r.Result != choice.Acked {
+			t.Errorf("%+v", r)
+		}
+	}
+	if p.counts.ServerConns.Load() != 2 || p.counts.Sent.Load() != 2 {
+		t.Errorf("%s", p.counts)
+	}
+}
+
+// Here the close is known to the kernel only: the goroutine that watches the connection is kept from seeing it.
+func TestGoneLooksWithoutReading(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &conn{net: near}
+	if c.gone() {
+		t.Error("an open connection counts as gone")
+	}
+	far.Close()
+	time.Sleep(20 * time.Millisecond)
+	if !c.gone() {
+		t.Error("a closed one does not")
+	}
+}
+
+func TestIdleConnectionsAreClosedEarly(t *testing.T) {
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+	for _, wait := range []func(){func() { time.Sleep(600 * time.Millisecond) }, func() { p.CloseIdle(server) },
+		func() { p.Locate(map[uint32]string{server: p.addrs[server]}) }} {
+		p.Send(op(t), 0, server, p.soon())
+		e.next(t)
+		wait()
+	}
+	p.Send(op(t), 0, server, p.soon())
+	e.next(t)
+	if opened := p.counts.ServerConns.Load(); opened != 3 { // the same address again closes nothing
+		t.Errorf("%d connections were opened", opened)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return nil, true }})
+	x := op(t)
+	p.Send(x, 0, server, p.soon())
+	time.Sleep(50 * time.Millisecond)
+	p.Cancel(x, 1) // another send of the op: nothing happens
+	select {
+	case r := <-e:
+		t.Fatalf("%+v", r)
+	case <-time.After(50 * time.Millisecond):
+	}
+	p.Cancel(x, 0)
+	if r := e.next(t); r.Result != choice.Cancelled {
+		t.Errorf("%+v", r)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[server]) != 0 {
+		t.Error("an abandoned connection may be used again")
+	}
+}
+
+// The result of a send may bring the next one at once: that one must find the connection idle. And calling back the
+// send that has just ended must not touch the one that the connection carries next.
+func TestTheNextSendTakesTheConnectionOfTheOneThatEnds(t *testing.T) {
+	first, second := op(t), op(t)
+	var p *Pool
+	e := make(ends, 4)
+	d := &standin.Database{Answer: func(string) ([]byte, bool) {
+		time.Sleep(20 * time.Millisecond)
+		return standin.Row("v", "replica", 1), true
+	}}
+	p, _ = pool(t, 8, d)
+	p.events = chain{ends: e, next: sync.OnceFunc(func() {
+		p.Send(second, 0, server, p.soon())
+		p.Cancel(first, 0)
+	})}
+	p.Send(first, 0, server, p.soon())
+	for range 2 {
+		if r := e.next(t); r.Result != choice.Acked {
+			t.Errorf("%+v", r)
+		}
+	}
+	if p.counts.ServerConns.Load() != 1 {
+		t.Errorf("%s", p.counts)
+	}
+}
+
+// chain does something at the first end of a send.
+type chain struct {
+	ends
+	next func()
+}
+
+func (c chain) SendEnded(x *exchange.Exchange, n uint8, at uint32, r exchange.Ended) {
+	c.next()
+	c.ends.SendEnded(x, n, at, r)
+}
+
+func TestNothingIsSentForAnOpThatHasEnded(t *testing.T) {
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+	x := op(t)
+	close(x.Done)
+	p.Send(x, 0, server, p.soon())
+	if r := e.next(t); r.Result != choice.NotSent || p.counts.Sent.Load() != 0 {
+		t.Errorf("%+v, %s", r, p.counts)
+	}
+}
+
+func TestThePoolIsBounded(t *testing.T) {
+	var slow atomic.Bool
+	slow.Store(true)
+	p, e := pool(t, 1, &standin.Database{Answer: func(string) ([]byte, bool) {
+		if slow.Load() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		return standin.Row("v", "replica", 1), true
+	}})
+	p.Locate(map[uint32]string{8: p.addrs[server], 9: ""})
+	p.Send(op(t), 0, server, p.soon())
+	p.Send(op(t), 0, 8, p.soon())
+	if r := e.next(t); r.Result != choice.NotSent {
+		t.Errorf("%+v", r)
+	}
+	if r := e.next(t); r.Result != choice.Acked {
+		t.Errorf("%+v", r)
+	}
+	slow.Store(false)
+	p.Send(op(t), 0, 8, p.soon()) // an idle connection to another server makes room
+	if r := e.next(t); r.Result != choice.Acked {
+		t.Errorf("%+v", r)
+	}
+	p.Send(op(t), 0, 9, p.soon())
+	if r := e.next(t); r.Result != choice.NotSent {
+		t.Errorf("a server without an address: %+v", r)
+	}
+}
+
+func TestProbes(t *testing.T) {
+	at := time.Now().Add(-time.Second)
+	asked := make(chan string, 1)
+	p, e := pool(t, 8, &standin.Database{Answer: func(q string) ([]byte, bool) {
+		asked <- q
+		return standin.Row(fmt.Sprintf("queue=3,x0=%.3f,x1=1", float64(at.UnixMilli())/1000), "primary", 0), true
+	}})
+	p.Probe(server)
+	r := e.next(t)
+	if q := <-asked; r.Result != choice.Acked || q != "SHOW load" || r.Report == nil || r.Report.Role != choice.Primary {
+		t.Fatalf("%+v after %q", r, q)
+	}
+	// Rounded towards the past, by no more than two milliseconds.
+	if off := p.clock.FromUnix(time.Duration(at.UnixNano())) - r.Report.Position; off < 0 || off > 3*time.Millisecond {
+		t.Errorf("the position is off by %v", off)
+	}
+	p.told.ReportNames = nil
+	p.Probe(server)
+	if r := e.next(t); r.Result != choice.Acked || <-asked != "SELECT 1" {
+		t.Errorf("%+v", r)
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,184 @@
+// Package standin is a small stand-in for clients and database servers, written from the protocol's public
+// description. Tests play against it, and cmd/standin lets the gateway be tried by hand.
+package standin
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"gorsewell/internal/pgwire"
+)
+
+// Database answers queries on a listener until that is closed.
+type Database struct {
+	// Welcome is written to each client that comes; nil stands for an ordinary welcome.
+	Welcome []byte
+	// Answer gives the bytes to write for a query, and whether the connection then stays open.
+	Answer func(query string) (bytes []byte, stays bool)
+}
+
+// Serve takes connections until the listener is closed.
+func (d *Database) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		go d.serve(c)
+	}
+}
+
+func (d *Database) serve(c net.Conn) {
+	defer c.Close()
+	var w pgwire.Window
+	for size := 0; size == 0; {
+		var err error
+		if _, size, err = pgwire.Startup(w.Bytes()); err != nil || size == 0 && fill(c, &w) != nil {
+			return
+		}
+		w.Take(size)
+	}
+	welcome := d.Welcome
+	if welcome == nil {
+		welcome = pgwire.AppendWelcome(nil)
+	}
+	if _, err := c.Write(welcome); err != nil {
+		return
+	}
+	for {
+		m, ok, err := w.Next()
+		if err != nil || !ok && fill(c, &w) != nil || ok && m.Type != pgwire.Query {
+			return
+		} else if !ok {
+			continue
+		}
+		bytes, stays := d.Answer(string(m.Body[:len(m.Body)-1]))
+		if _, err := c.Write(bytes); err != nil || !stays {
+			return
+		}
+	}
+}
+
+func fill(c net.Conn, w *pgwire.Window) error {
+	n, err := c.Read(w.Room())
+	w.Filled(n)
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// Row is an answer of one value. The role and the position, in Unix milliseconds, follow it.
+func Row(value, role string, position int64) []byte {
+	b := pgwire.AppendMessage(nil, pgwire.RowDescription,
+		"\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+	n := len(value)
+	b = pgwire.AppendMessage(b, pgwire.DataRow,
+		"\x00\x01", string([]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}), value)
+	return told(pgwire.AppendMessage(b, pgwire.CommandComplete, "SELECT 1\x00"), role, position)
+}
+
+// Failure is an ErrorResponse with the role and the position.
+func Failure(code, role string, position int64) []byte {
+	return told(pgwire.AppendError(nil, "ERROR", code, "as the test wants", ""), role, position)
+}
+
+func told(b []byte, role string, position int64) []byte {
+	b = pgwire.AppendMessage(b, pgwire.ParameterStatus, "role\x00", role, "\x00")
+	b = pgwire.AppendMessage(b, pgwire.ParameterStatus, "applied_ms\x00", strconv.FormatInt(position, 10), "\x00")
+	return pgwire.AppendReady(b)
+}
+
+// Client is one connection of a client.
+type Client struct {
+	net.Conn
+	window pgwire.Window
+}
+
+// Dial connects and is let in.
+func Dial(addr string) (*Client, error) {
+	c, err := Open(addr)
+	if err == nil {
+		err = c.Say(pgwire.AppendStartup(nil, "portal", "crm"))
+	}
+	if err == nil {
+		_, err = c.Answer()
+	}
+	return c, err
+}
+
+// Open connects without a word.
+func Open(addr string) (*Client, error) {
+	nc, err := net.DialTimeout("tcp", addr, 5*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{Conn: nc}, nc.SetDeadline(time.Now().Add(20 * time.Second))
+}
+
+// Say writes bytes as they are.
+func (c *Client) Say(bytes []byte) error {
+	_, err := c.Write(bytes)
+	return err
+}
+
+// Query asks and returns the answer.
+func (c *Client) Query(statement string) (string, error) {
+	if err := c.Say(pgwire.AppendQuery(nil, statement)); err != nil {
+		return "", err
+	}
+	return c.Answer()
+}
+
+// Answer reads up to ReadyForQuery, or to the end of the connection, and returns in short what came: the value
+// of a row, the code and detail of an error, or the types of other messages.
+func (c *Client) Answer() (short string, err error) {
+	for {
+		m, ok, err := c.window.Next()
+		if err != nil {
+			return short, err
+		}
+		if !ok {
+			if err := fill(c, &c.window); errors.Is(err, io.EOF) {
+				return short + "$", nil
+			} else if err != nil {
+				return short, err
+			}
+			continue
+		}
+		switch m.Type {
+		case pgwire.ReadyForQuery:
+			return short, nil
+		case pgwire.DataRow:
+			value, err := pgwire.Column(m.Body)
+			if err != nil {
+				return short, err
+			}
+			short += string(value)
+		case pgwire.ErrorResponse:
+			short += fields(m.Body)
+		case pgwire.EmptyQuery:
+			short += "I"
+		}
+	}
+}
+
+// fields is the code and the detail of an ErrorResponse.
+func fields(body []byte) (short string) {
+	for len(body) > 1 {
+		value, rest, err := pgwire.CutText(body[1:])
+		if err != nil {
+			return short
+		}
+		if body[0] == 'C' || body[0] == 'D' {
+			short += string(body[0]) + string(value)
+		}
+		body = rest
+	}
+	return short
+}
