--- /dev/null
+++ b/cmd/gorsewell/main_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gorsewell/internal/standin"
+)
+
+// The test's own binary is the gateway where this variable is set.
+const asGateway = "GORSEWELL_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asGateway) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"balancers":1,"round":5000000,"registry_mode":"on_request",
+"classes":[{"name":"lookup","effect":"retryable","target":2000000000,"give_up":3000000000,"worth":1}],
+"family_info":{"needs_by_class":["eventual"],"tells_position":true},
+"limits":{"connect_timeout":250000000,"keepalive":30000000000,"max_attempts":8,"may_cancel":true},
+"rules":{"must_ask_in":10000000000}}`
+
+const ask = "SELECT data FROM facts WHERE code = 'k' /* id=%d,c=lookup,d=2500,cluster=0 */"
+
+// gateway runs the program against the database until the test ends it.
+func gateway(t *testing.T, answer func(string) ([]byte, bool)) (*exec.Cmd, string, *strings.Builder) {
+	t.Helper()
+	database, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { database.Close() })
+	go (&standin.Database{Answer: answer}).Serve(database)
+	known := fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s-1","addr":%q,"state":"in_service"}]}`, database.Addr())
+	lists := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("timeout_ms") == "0" {
+			fmt.Fprint(w, known)
+			return
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() {
+		lists.CloseClientConnections()
+		lists.Close()
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0") // for an address that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	config := fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		known, settings)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asGateway+"=1", "LB_NAME=n0", "LB_LISTEN="+addr,
+		"LB_DISCOVERY="+strings.TrimPrefix(lists.URL, "http://"), "LB_CONFIG="+path)
+	out := &strings.Builder{}
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if c, err := standin.Dial(addr); err == nil {
+			c.Close()
+			return cmd, addr, out
+		} else if time.Now().After(end) {
+			t.Fatalf("not up: %v, %s", err, out)
+		}
+	}
+}
+
+func TestFromStartToPlannedStop(t *testing.T) {
+	slow := make(chan struct{})
+	cmd, addr, out := gateway(t, func(q string) ([]byte, bool) {
+		if strings.Contains(q, "id=9,") {
+			<-slow
+		}
+		return standin.Row("value", "replica", time.Now().UnixMilli()), true
+	})
+	c, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got, err := c.Query(""); err != nil || got != "I" {
+		t.Errorf("an empty query: %q, %v", got, err)
+	}
+	for id := range 3 {
+		if got, err := c.Query(fmt.Sprintf(ask, id)); err != nil || got != "value" {
+			t.Errorf("%q, %v", got, err)
+		}
+	}
+	cmd.Process.Signal(syscall.SIGUSR1)
+	var held sync.WaitGroup
+	held.Go(func() {
+		if got, err := c.Query(fmt.Sprintf(ask, 9)); err != nil || got != "value" {
+			t.Errorf("the held op: %q, %v", got, err)
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
+	late, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	if got, err := late.Query(fmt.Sprintf(ask, 4)); err != nil || got != "value" {
+		t.Errorf("after SIGTERM: %q, %v", got, err)
+	}
+	time.Sleep(600 * time.Millisecond)
+	close(slow)
+	held.Wait()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v: %s", err, out)
+	}
+	log := out.String()
+	if !strings.Contains(log, "event=counters taken=") || !strings.Contains(log, "event=stopped taken=5 acked=5 ") ||
+		!strings.Contains(log, " held=0 ") || !strings.Contains(log, " server_open=0 ") || !strings.Contains(log, "assertions_broken=0") {
+		t.Error(log)
+	}
+}
+
+func TestMissingOrBadSurroundings(t *testing.T) {
+	write := func(text string) string {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	change := func(edit func(map[string]any)) string {
+		all := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1", "settings": json.RawMessage(settings)}
+		edit(all)
+		text, err := json.Marshal(all)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return write(string(text))
+	}
+	for name, config := range map[string]string{
+		"no config":        "",
+		"no such file":     filepath.Join(t.TempDir(), "none"),
+		"not JSON":         write("{"),
+		"no listen":        change(func(m map[string]any) { delete(m, "listen") }),
+		"bad listen":       change(func(m map[string]any) { m["listen"] = "nowhere" }),
+		"another's listen": change(func(m map[string]any) { m["listen"] = "192.0.2.1:5432" }),
+		"bad seed":         change(func(m map[string]any) { m["seed"] = "xyz" }),
+		"no settings":      change(func(m map[string]any) { delete(m, "settings") }),
+		"bad setting":      change(func(m map[string]any) { m["settings"] = map[string]any{"round": "soon"} }),
+		"bad server":       change(func(m map[string]any) { m["known"] = map[string]any{"servers": []any{map[string]any{"id": "s-1"}}} }),
+	} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), asGateway+"=1", "LB_CONFIG="+config)
+		out, err := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 1 || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "gorsewell: ") {
+			t.Errorf("%s: %v, %q", name, err, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,158 @@
+package discovery
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/exchange"
+)
+
+const page = `{"version":41,"full":true,"servers":[
+{"id":"s-5be2a07c","addr":"10.1.0.18:5432","zone":"b","kind":"m 2","cell":3,"state":"in_service","weight":1.5,"started_ms":0},
+{"id":"other","addr":"10.1.0.19:5432","zone":"c","kind":"m3","cell":3,"state":"terminating","role":"primary","started_ms":1767225600123},
+{"id":"s-1","state":"terminated"}]}`
+
+// told is one list as it was handed over.
+type told struct {
+	scope  choice.ListScope
+	listed []choice.Listed
+	addrs  map[uint32]string
+}
+
+type taker chan told
+
+func (c taker) Listed(scope choice.ListScope, listed []choice.Listed, addrs map[uint32]string) {
+	c <- told{scope, listed, addrs}
+}
+
+func (c taker) next(t *testing.T) told {
+	t.Helper()
+	select {
+	case l := <-c:
+		return l
+	case <-time.After(10 * time.Second):
+		t.Fatal("no list")
+		panic("not reached")
+	}
+}
+
+// client runs against the handler until the test ends.
+func client(t *testing.T, within time.Duration, h http.HandlerFunc) (*Client, taker) {
+	t.Helper()
+	s := httptest.NewServer(h)
+	lists := make(taker, 64)
+	settings := &deployment.Told{Zones: []string{"a", "b"}, Kinds: []string{"m_2"}}
+	settings.AskWithin = within
+	names := NewNames(exchange.StartClock(), settings)
+	c := New(strings.TrimPrefix(s.URL, "http://"), 40, names, settings, lists, &counters.Set{})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		c.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		s.Close()
+	})
+	return c, lists
+}
+
+func TestAListInTheModulesTerms(t *testing.T) {
+	c, lists := client(t, time.Second, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			t.Errorf("asked %q", r.URL)
+		}
+		w.Write([]byte(page))
+	})
+	c.Ask()
+	l := lists.next(t)
+	if l.scope != choice.ListFull || len(l.listed) != 3 {
+		t.Fatalf("%+v", l)
+	}
+	first, second, third := l.listed[0], l.listed[1], l.listed[2]
+	want := choice.Listed{ID: 0x5be2a07c, Group: 3, Zone: 1, Kind: 0, State: choice.Ready, Started: choice.LongPast, Weight: 1.5}
+	if first != want || !second.Primary || second.State != choice.Draining || second.Zone != 2 || second.Kind != 1 ||
+		third.ID != 1 || third.State != choice.Gone {
+		t.Errorf("%+v", l.listed)
+	}
+	if started := c.names.clock.FromUnix(1767225600123 * time.Millisecond); second.Started != started {
+		t.Errorf("started %v, want %v", second.Started, started)
+	}
+	if len(l.addrs) != 2 || l.addrs[0x5be2a07c] != "10.1.0.18:5432" {
+		t.Errorf("%v", l.addrs)
+	}
+}
+
+func TestAWatchGoesOnFromTheLastVersion(t *testing.T) {
+	asked := make(chan string, 8)
+	c, lists := client(t, 2*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case asked <- r.URL.RawQuery:
+		default:
+			<-r.Context().Done()
+			return
+		}
+		w.Write([]byte(`{"version":` + map[int]string{1: "41", 2: "43"}[min(2, len(asked))] + `,"full":false,"servers":[]}`))
+	})
+	c.Watch()
+	if l := lists.next(t); l.scope != choice.ListChanges {
+		t.Errorf("%+v", l)
+	}
+	lists.next(t)
+	lists.next(t)
+	for _, want := range []string{"since=40&timeout_ms=0", "since=41&timeout_ms=2000", "since=43&timeout_ms=2000"} {
+		if got := <-asked; got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+}
+
+func TestCallsThatFail(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"refuses":     func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"hangs":       func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"resets":      func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"half a list": func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte(page[:90])) },
+		"unknown state": func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(strings.Replace(page, "terminating", "lost", 1)))
+		},
+		"no address": func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(strings.Replace(page, "10.1.0.18:5432", "", 1)))
+		},
+		"too large a cell": func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(strings.Replace(page, `"cell":3`, `"cell":70000`, 1)))
+		},
+	} {
+		c, lists := client(t, 200*time.Millisecond, h)
+		for range 2 { // a failed watch can be asked for again
+			c.Watch()
+			if l := lists.next(t); l.scope != choice.ListFailed {
+				t.Errorf("%s: %+v", name, l)
+			}
+		}
+		if n := c.counts.ListsFailed.Load(); n != 2 {
+			t.Errorf("%s: %d failures counted", name, n)
+		}
+	}
+}
+
+func TestServersKeepTheirNumbers(t *testing.T) {
+	n := NewNames(exchange.StartClock(), &deployment.Told{})
+	a, b := n.server("s-5be2a07c"), n.server("S-5BE2A07C")
+	if a != 0x5be2a07c || b == a || n.server("s-5be2a07c") != a || n.server("S-5BE2A07C") != b {
+		t.Errorf("%x, %x", a, b)
+	}
+	n.servers[7] = "squatter"
+	if c := n.server("s-7"); c != 8 || n.server("s-7") != 8 {
+		t.Errorf("%x beside another with its number", c)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/invariant"
+)
+
+// servers notes what the module wants; nothing comes back unless the test says so.
+type servers struct {
+	sent      []sent
+	cancelled int
+	probed    int
+	closed    int
+}
+
+type sent struct {
+	x      *exchange.Exchange
+	number uint8
+	server uint32
+	due    time.Duration
+}
+
+func (s *servers) Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration) {
+	s.sent = append(s.sent, sent{x, number, server, due})
+}
+func (s *servers) Cancel(*exchange.Exchange, uint8) { s.cancelled++ }
+func (s *servers) Probe(uint32)                     { s.probed++ }
+func (s *servers) CloseIdle(uint32)                 { s.closed++ }
+
+type lists struct{ asked, watched int }
+
+func (l *lists) Ask()   { l.asked++ }
+func (l *lists) Watch() { l.watched++ }
+
+const primary, replica = 1, 2
+
+// start is a dispatch with one group of a primary and a replica, and two op types: a read and a write.
+func start(t *testing.T) (*Dispatch, *servers, *lists) {
+	t.Helper()
+	told := &choice.Deployment{Gateways: 1, Round: 5 * time.Millisecond, ListAsked: true, AskWithin: 10 * time.Second,
+		MaxSends: 8, Cancels: true, TellsPosition: true, OpTypes: []choice.OpType{
+			{Effect: choice.Retryable, Need: choice.Any, Target: 500 * time.Millisecond, Timeout: time.Second, Value: 1},
+			{Need: choice.Write, Target: 500 * time.Millisecond, Timeout: time.Second, Value: 1, LateValue: 0.5},
+		}}
+	d, s, l := New(exchange.StartClock(), &counters.Set{}), &servers{}, &lists{}
+	d.Start(s, l, told, []choice.Listed{
+		{ID: primary, State: choice.Ready, Primary: true, Started: choice.LongPast},
+		{ID: replica, State: choice.Ready, Started: choice.LongPast}})
+	return d, s, l
+}
+
+func take(d *Dispatch, kind uint8, within time.Duration) *exchange.Exchange {
+	x := &exchange.Exchange{OpType: kind, Due: d.clock.Now() + within, After: choice.LongPast, Done: make(chan struct{})}
+	d.Take(x)
+	return x
+}
+
+func TestAnOpGoesOutAndItsAckComesBack(t *testing.T) {
+	d, s, l := start(t)
+	read, write := take(d, 0, time.Second), take(d, 1, time.Second)
+	if len(s.sent) != 2 || s.sent[0].server != replica || s.sent[1].server != primary || s.sent[0].due != read.Due || l.watched != 1 {
+		t.Fatalf("%+v, %+v", s, l)
+	}
+	d.SendEnded(read, 0, replica, exchange.Ended{Result: choice.Acked, Position: choice.LongPast, Answer: []byte("row")})
+	<-read.Done
+	if read.Outcome != exchange.Acked || string(read.Answer) != "row" || write.Ended() {
+		t.Errorf("%+v, %+v", read, write)
+	}
+}
+
+func TestASendThatProvedNothingIsMadeAgain(t *testing.T) {
+	d, s, _ := start(t)
+	x := take(d, 0, time.Second)
+	d.SendEnded(x, 0, replica, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+	for range 100 { // the module waits a little before it tries again
+		time.Sleep(5 * time.Millisecond)
+		if d.tick(); len(s.sent) > 1 {
+			break
+		}
+	}
+	if len(s.sent) != 2 || s.sent[1].number != 1 || x.Ended() {
+		t.Errorf("%+v", s.sent)
+	}
+}
+
+func TestAWriteThatMayHaveRunIsAnError(t *testing.T) {
+	d, s, _ := start(t)
+	x := take(d, 1, time.Second)
+	d.SendEnded(x, 0, primary, exchange.Ended{Result: choice.Reset, Position: choice.LongPast})
+	if x.Outcome != exchange.Errored || len(s.sent) != 1 {
+		t.Errorf("%+v", x)
+	}
+}
+
+func TestAnOpTooLateToSendIsBusyReplied(t *testing.T) {
+	d, s, _ := start(t)
+	if x := take(d, 0, 0); x.Outcome != exchange.BusyReplied || len(s.sent) != 0 {
+		t.Errorf("%+v", x)
+	}
+}
+
+func TestWhatIsTakenEqualsWhatEnds(t *testing.T) {
+	d, s, _ := start(t)
+	left := take(d, 0, time.Second)
+	d.Left(left)
+	d.Left(left) // once is enough
+	acked, errored := take(d, 0, time.Second), take(d, 1, time.Second)
+	d.SendEnded(acked, 0, replica, exchange.Ended{Result: choice.Acked, Position: choice.LongPast})
+	d.Left(acked) // crosses its answer
+	d.SendEnded(errored, 0, primary, exchange.Ended{Result: choice.TimedOut, Position: choice.LongPast})
+	take(d, 0, 0)
+	take(d, 1, time.Second)                                                                        // held
+	d.SendEnded(left, 0, replica, exchange.Ended{Result: choice.Acked, Position: choice.LongPast}) // nobody waits for it
+	c := d.counts
+	if c.Taken.Load() != 5 || c.Acked.Load() != 1 || c.Errored.Load() != 1 || c.BusyReplied.Load() != 1 || c.Left.Load() != 1 ||
+		c.Held.Load() != 1 || s.cancelled != 1 || len(d.table) != 1 || invariant.Broken() != 0 {
+		t.Errorf("%s; %d cancelled, %d in the table", c, s.cancelled, len(d.table))
+	}
+}
+
+func TestAHeldOpIsGivenUpByATimer(t *testing.T) {
+	d, s, _ := start(t)
+	d.Listed(choice.ListFull, nil) // no server is left
+	x := take(d, 1, 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	<-x.Done
+	if now := d.clock.Now(); x.Outcome != exchange.BusyReplied || now > x.Due || len(s.sent) != 0 {
+		t.Errorf("%d at %v, due at %v", x.Outcome, now, x.Due)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestASessionsMarkIsNeverTakenForNone(t *testing.T) {
+	d, s, _ := start(t)
+	x := &exchange.Exchange{OpType: 0, Due: time.Second, After: d.clock.Now() + time.Millisecond, Done: make(chan struct{})}
+	d.Take(x) // the commit was rounded up, past the present
+	if len(s.sent) != 1 || x.Ended() {
+		t.Errorf("%+v", s.sent)
+	}
+}
