--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -48,7 +48,7 @@
 	for j != nil {
 		e, whole := c.serve(j)
 		if whole {
-			c.free(j) // before the result is told, as that may bring the next job
+			c.free() // before the result is told, as that may bring the next job
 		}
 		p.end(j, e)
 		if !whole {
@@ -85,12 +85,11 @@
 	}
 }
 
-// free puts the connection among the idle ones. Its job can no longer be cancelled.
-func (c *conn) free(j *job) {
+// free puts the connection among the idle ones.
+func (c *conn) free() {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.out, j.x)
 	c.job = nil
 	if c.left = p.closed; c.left {
 		c.net.SetDeadline(past)
