--- a/cmd/gorsewell/main.go
+++ b/cmd/gorsewell/main.go
@@ -43,8 +43,8 @@
 		MemoryMB int64 `json:"memory_mb"`
 		Sockets  int
 	}
-	Known    discovery.Page
-	Settings json.RawMessage
+	Known      discovery.Page
+	Deployment json.RawMessage `json:"settings"`
 }
 
 func read() (*given, *deployment.Told, error) {
@@ -68,7 +68,7 @@
 			return nil, nil, fmt.Errorf("%s is not set", name)
 		}
 	}
-	values, err := deployment.FromJSON(g.Settings)
+	values, err := deployment.FromJSON(g.Deployment)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -85,8 +85,9 @@
 	return g, told, nil
 }
 
-// spare is how many descriptors are kept for the standard streams, the listener, discovery and the runtime.
-const spare = 32
+// spare is how many descriptors are kept for the standard streams, the listener, discovery, the runtime and clients
+// that are being turned away.
+const spare = 48
 
 func run() error {
 	g, told, err := read()
@@ -112,21 +113,22 @@
 	if err != nil {
 		return err
 	}
+	l, err := net.ListenTCP("tcp", addr)
+	if err != nil {
+		return err
+	}
 	stop, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer unhook()
 	work, finish := context.WithCancel(context.Background())
 	defer finish()
 
 	desk := dispatch.New(clock, counts)
-	pool := serverside.New(work, clock, desk, counts, told, (sockets-spare)/2)
-	front := clientside.New(clock, desk, counts, told, (sockets-spare)/2)
+	servers := (sockets - spare) / 3
+	pool := serverside.New(work, clock, desk, counts, told, servers)
+	front := clientside.New(clock, desk, counts, told, sockets-spare-servers)
 	pool.Locate(addrs)
 	lists := discovery.New(g.Discovery, g.Known.Version, names, told, listed{desk, pool}, counts)
 	desk.Start(pool, lists, &told.Deployment, known)
-	l, err := net.ListenTCP("tcp", addr)
-	if err != nil {
-		return err
-	}
 	log.Printf("event=started name=%s listen=%s", g.Name, g.Listen)
 
 	var group errgroup.Group
@@ -134,8 +136,8 @@
 	group.Go(func() error { return lists.Run(work) })
 	group.Go(pool.Wait)
 	group.Go(func() error { return printCounters(work, counts) })
+	context.AfterFunc(stop, func() { log.Printf("event=stopping") })
 	err = front.Serve(stop, l)
-	log.Printf("event=stopping")
 	finish()
 	err = errors.Join(err, group.Wait())
 	log.Printf("event=stopped %s", counts)
--- a/cmd/gorsewell/main_test.go
+++ b/cmd/gorsewell/main_test.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,50 +27,28 @@
 	os.Exit(m.Run())
 }
 
-const settings = `{"balancers":1,"round":5000000,"registry_mode":"on_request",
-"classes":[{"name":"lookup","effect":"retryable","target":2000000000,"give_up":3000000000,"worth":1}],
-"family_info":{"needs_by_class":["eventual"],"tells_position":true},
-"limits":{"connect_timeout":250000000,"keepalive":30000000000,"max_attempts":8,"may_cancel":true},
-"rules":{"must_ask_in":10000000000}}`
-
 const ask = "SELECT data FROM facts WHERE code = 'k' /* id=%d,c=lookup,d=2500,cluster=0 */"
 
-// gateway runs the program against the database until the test ends it.
-func gateway(t *testing.T, answer func(string) ([]byte, bool)) (*exec.Cmd, string, *strings.Builder) {
+// gateway runs the program against a group until the test ends it.
+func gateway(t *testing.T, answer func(role, query string) ([]byte, bool)) (*exec.Cmd, string, *strings.Builder) {
 	t.Helper()
-	database, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { database.Close() })
-	go (&standin.Database{Answer: answer}).Serve(database)
-	known := fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s-1","addr":%q,"state":"in_service"}]}`, database.Addr())
-	lists := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("timeout_ms") == "0" {
-			fmt.Fprint(w, known)
-			return
-		}
-		<-r.Context().Done()
-	}))
-	t.Cleanup(func() {
-		lists.CloseClientConnections()
-		lists.Close()
-	})
 	l, err := net.Listen("tcp", "127.0.0.1:0") // for an address that is free
 	if err != nil {
 		t.Fatal(err)
 	}
 	addr := l.Addr().String()
 	l.Close()
-	config := fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
-		known, settings)
+	group, err := standin.Start(addr, answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(group.Close)
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+	if err := os.WriteFile(path, group.Config, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), asGateway+"=1", "LB_NAME=n0", "LB_LISTEN="+addr,
-		"LB_DISCOVERY="+strings.TrimPrefix(lists.URL, "http://"), "LB_CONFIG="+path)
+	cmd.Env = append(os.Environ(), asGateway+"=1", "LB_CONFIG="+path)
 	out := &strings.Builder{}
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
@@ -91,11 +67,11 @@
 
 func TestFromStartToPlannedStop(t *testing.T) {
 	slow := make(chan struct{})
-	cmd, addr, out := gateway(t, func(q string) ([]byte, bool) {
-		if strings.Contains(q, "id=9,") {
+	cmd, addr, out := gateway(t, func(role, query string) ([]byte, bool) {
+		if strings.Contains(query, "id=9,") {
 			<-slow
 		}
-		return standin.Row("value", "replica", time.Now().UnixMilli()), true
+		return standin.Row("from a "+role, role, time.Now().UnixMilli()), true
 	})
 	c, err := standin.Dial(addr)
 	if err != nil {
@@ -106,14 +82,14 @@
 		t.Errorf("an empty query: %q, %v", got, err)
 	}
 	for id := range 3 {
-		if got, err := c.Query(fmt.Sprintf(ask, id)); err != nil || got != "value" {
+		if got, err := c.Query(fmt.Sprintf(ask, id)); err != nil || got != "from a replica" {
 			t.Errorf("%q, %v", got, err)
 		}
 	}
 	cmd.Process.Signal(syscall.SIGUSR1)
 	var held sync.WaitGroup
 	held.Go(func() {
-		if got, err := c.Query(fmt.Sprintf(ask, 9)); err != nil || got != "value" {
+		if got, err := c.Query(fmt.Sprintf(ask, 9)); err != nil || got != "from a replica" {
 			t.Errorf("the held op: %q, %v", got, err)
 		}
 	})
@@ -125,7 +101,7 @@
 		t.Fatal(err)
 	}
 	defer late.Close()
-	if got, err := late.Query(fmt.Sprintf(ask, 4)); err != nil || got != "value" {
+	if got, err := late.Query(fmt.Sprintf(ask, 4)); err != nil || got != "from a replica" {
 		t.Errorf("after SIGTERM: %q, %v", got, err)
 	}
 	time.Sleep(600 * time.Millisecond)
@@ -142,6 +118,11 @@
 }
 
 func TestMissingOrBadSurroundings(t *testing.T) {
+	good, err := standin.Start("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer good.Close()
 	write := func(text string) string {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -150,7 +131,10 @@
 		return path
 	}
 	change := func(edit func(map[string]any)) string {
-		all := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1", "settings": json.RawMessage(settings)}
+		all := map[string]any{}
+		if err := json.Unmarshal(good.Config, &all); err != nil {
+			t.Fatal(err)
+		}
 		edit(all)
 		text, err := json.Marshal(all)
 		if err != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,9 +4,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"gorsewell/internal/pgwire"
@@ -182,3 +185,69 @@
 	}
 	return short
 }
+
+// Group is a primary and a replica on loopback, with a discovery that lists them and never changes.
+type Group struct {
+	Config []byte // what a gateway is given to work with them
+	parts  []io.Closer
+}
+
+// settings describe a small deployment with a read and a write.
+const settings = `{"balancers":1,"round":5000000,"registry_mode":"on_request",
+"classes":[{"name":"lookup","effect":"retryable","target":2000000000,"give_up":3000000000,"worth":1},
+{"name":"save","effect":"dedup","dedup_scope":"cell","window":2000000000,"target":2000000000,"give_up":3000000000,"worth":2}],
+"family_info":{"needs_by_class":["eventual","mutate"],"tells_position":true},
+"limits":{"connect_timeout":250000000,"keepalive":30000000000,"max_attempts":8,"may_cancel":true},
+"rules":{"must_ask_in":10000000000}}`
+
+// Start starts a group; the answer to a query depends on the role of the server that it came to. The gateway is to
+// listen on the address given.
+func Start(listen string, answer func(role, query string) ([]byte, bool)) (*Group, error) {
+	g := &Group{}
+	open := func() (net.Listener, error) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err == nil {
+			g.parts = append(g.parts, l)
+		}
+		return l, err
+	}
+	var servers []string
+	for i, role := range []string{"primary", "replica"} {
+		l, err := open()
+		if err != nil {
+			return nil, err
+		}
+		d := &Database{Answer: func(query string) ([]byte, bool) { return answer(role, query) }}
+		go d.Serve(l)
+		servers = append(servers, fmt.Sprintf(`{"id":"s-%d","addr":%q,"state":"in_service","role":%q}`, i+1, l.Addr(), role))
+	}
+	page := fmt.Sprintf(`{"version":1,"full":true,"servers":[%s]}`, strings.Join(servers, ","))
+	l, err := open()
+	if err != nil {
+		return nil, err
+	}
+	discovery := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms")); wait > 0 {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Duration(wait) * time.Millisecond):
+			}
+		}
+		fmt.Fprint(w, page)
+	})}
+	g.parts = append(g.parts, discovery)
+	go discovery.Serve(l)
+	g.Config = fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"known":%s,
+"settings":%s}
+`, listen, l.Addr(), page, settings)
+	return g, nil
+}
+
+// Close stops the group.
+func (g *Group) Close() {
+	for _, p := range g.parts {
+		p.Close()
+	}
+}
