Refuse times that no span can hold; one count for each way a send ends; wake for earlier timers only

An 'after' of 2^53 ms overflowed its span and became an arbitrary mark; such numbers are now no usable comment, and from servers and discovery they count as not told or as a malformed list. The timers' loop ran twice a tick, as each timer set woke it.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -63,7 +63,7 @@
 	f.closing.Store(true)
 	f.mu.Lock()
 	for c := range f.conns {
-		c.net.SetReadDeadline(past)
+		c.net.SetReadDeadline(exchange.Past)
 	}
 	f.mu.Unlock()
 	return errors.Join(err, group.Wait())
@@ -106,9 +106,6 @@
 	}
 }
 
-// past is a deadline that has gone by: it ends a read at once.
-var past = time.Unix(1, 0)
-
 // conn is one client's connection. Its reader owns the window and the list of ops, its answerer the writes.
 type conn struct {
 	front  *Front
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -41,7 +41,7 @@
 			}
 		}
 		if c.owed.Add(-1) == 0 && c.front.closing.Load() {
-			c.net.SetReadDeadline(past)
+			c.net.SetReadDeadline(exchange.Past)
 		}
 	}
 	return errors.Join(failed, c.net.SetWriteDeadline(time.Time{}))
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -129,7 +129,7 @@
 func (c *conn) wait(until time.Time) {
 	c.net.SetReadDeadline(until)
 	if c.front.closing.Load() && c.owed.Load() == 0 {
-		c.net.SetReadDeadline(past)
+		c.net.SetReadDeadline(exchange.Past)
 	}
 }
 
@@ -157,10 +157,10 @@
 	now := c.front.clock.Now()
 	x := &exchange.Exchange{Statement: s, OpType: kind, Session: session(s.Key), After: choice.LongPast,
 		Due: now + time.Duration(s.Remaining)*time.Millisecond, Done: make(chan struct{})}
-	if s.After > 0 {
-		x.After = c.front.clock.FromUnix(time.Duration(s.After) * time.Millisecond)
+	if at, ok := c.front.clock.FromUnix(s.After); ok {
+		x.After = at
 	}
-	c.open = append(slices.DeleteFunc(c.open, (*exchange.Exchange).Ended), x)
+	c.open = append(slices.DeleteFunc(c.open, (*exchange.Exchange).Over), x)
 	c.front.desk.Take(x)
 	c.put(reply{x: x})
 	return nil
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -6,29 +6,41 @@
 	"reflect"
 	"strings"
 	"sync/atomic"
+	"unicode"
 
+	"gorsewell/choice"
 	"gorsewell/internal/invariant"
 )
 
+// sendEnds names the counts of how sends ended.
+var sendEnds = [...]string{
+	choice.Acked:        "send_acked",
+	choice.ServerError:  "send_error",
+	choice.ServerFull:   "send_full",
+	choice.TimedOut:     "send_timed_out",
+	choice.NoConnection: "send_no_connection",
+	choice.Reset:        "send_reset",
+	choice.Cancelled:    "send_cancelled",
+	choice.NotSent:      "send_not_sent",
+	choice.Miss:         "send_missed",
+}
+
 // Set is the counters of one gateway. The zero value is ready to use.
 type Set struct {
-	Taken                              atomic.Int64 // ops taken in
-	Acked, BusyReplied, Errored, Left  atomic.Int64 // how they ended
-	Held                               atomic.Int64 // ops that have not ended
-	Sent                               atomic.Int64 // sends written whole to a server
-	SendAcked, SendMissed, SendFull    atomic.Int64 // how sends ended
-	SendError, SendTimedOut, SendReset atomic.Int64
-	SendNoConnection, SendNotSent      atomic.Int64
-	SendCancelled                      atomic.Int64
-	Probes, ProbesAcked                atomic.Int64
-	ServerConns, ServerReused          atomic.Int64 // connections opened, taken again
-	ServerBroken, ServerRefused        atomic.Int64
-	ClientConns, ClientRefused         atomic.Int64 // connections taken in, turned away
-	ClientOpen, ServerOpen             atomic.Int64 // connections held now
-	Malformed                          atomic.Int64 // connections ended for bytes that cannot be read
-	Unusable                           atomic.Int64 // queries without usable comment, of unknown type, too long
-	MalformedAnswers                   atomic.Int64
-	Lists, ListsFailed                 atomic.Int64
+	Taken                             atomic.Int64 // ops taken in
+	Acked, BusyReplied, Errored, Left atomic.Int64 // how they ended
+	Held                              atomic.Int64 // ops that have not ended
+	Sent                              atomic.Int64 // sends written whole to a server
+	SendEnds                          [len(sendEnds)]atomic.Int64
+	Probes, ProbesAcked               atomic.Int64
+	ServerConns, ServerReused         atomic.Int64 // connections opened, taken again
+	ServerBroken, ServerRefused       atomic.Int64 // that ended under a send, or while they were idle; that never came up
+	ClientConns, ClientRefused        atomic.Int64 // connections taken in, turned away
+	ClientOpen, ServerOpen            atomic.Int64 // connections held now
+	Malformed                         atomic.Int64 // client connections ended for bytes that cannot be read
+	Unusable                          atomic.Int64 // queries without usable comment, of unknown op type, too long
+	MalformedAnswers                  atomic.Int64
+	Lists, ListsFailed                atomic.Int64
 }
 
 // String gives all counters as key=value, in the order in which they are declared.
@@ -36,22 +48,27 @@
 	var b strings.Builder
 	v := reflect.ValueOf(s).Elem()
 	for i := range v.NumField() {
-		fmt.Fprintf(&b, "%s=%d ", snake(v.Type().Field(i).Name), v.Field(i).Addr().Interface().(*atomic.Int64).Load())
+		switch c := v.Field(i).Addr().Interface().(type) {
+		case *atomic.Int64:
+			fmt.Fprintf(&b, "%s=%d ", snake(v.Type().Field(i).Name), c.Load())
+		case *[len(sendEnds)]atomic.Int64:
+			for end, name := range sendEnds {
+				fmt.Fprintf(&b, "%s=%d ", name, c[end].Load())
+			}
+		}
 	}
 	fmt.Fprintf(&b, "assertions_broken=%d", invariant.Broken())
 	return b.String()
 }
 
+// snake is a field's name as the log has it.
 func snake(name string) string {
 	var b strings.Builder
 	for i, r := range name {
-		if r >= 'A' && r <= 'Z' {
-			if i > 0 {
-				b.WriteByte('_')
-			}
-			r += 'a' - 'A'
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
 		}
-		b.WriteRune(r)
+		b.WriteRune(unicode.ToLower(r))
 	}
 	return b.String()
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -97,11 +97,15 @@
 			return nil, nil, fmt.Errorf("server %q is in unknown state %q", e.ID, e.State)
 		}
 		if e.Started != 0 {
-			l.Started = n.clock.FromUnix(time.Duration(e.Started) * time.Millisecond)
+			at, ok := n.clock.FromUnix(e.Started)
+			if !ok {
+				return nil, nil, fmt.Errorf("server %q started at %d", e.ID, e.Started)
+			}
+			l.Started = at
 		}
 		if l.State != choice.Gone {
-			if _, _, err := net.SplitHostPort(e.Addr); err != nil || e.ID == "" {
-				return nil, nil, fmt.Errorf("server %q has address %q", e.ID, e.Addr)
+			if _, _, err := net.SplitHostPort(e.Addr); err != nil || e.ID == "" || e.Weight < 0 {
+				return nil, nil, fmt.Errorf("server %q has address %q, weight %v", e.ID, e.Addr, e.Weight)
 			}
 			addrs[l.ID] = e.Addr
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -84,7 +84,7 @@
 		third.ID != 1 || third.State != choice.Gone {
 		t.Errorf("%+v", l.listed)
 	}
-	if started := c.names.clock.FromUnix(1767225600123 * time.Millisecond); second.Started != started {
+	if started, _ := c.names.clock.FromUnix(1767225600123); second.Started != started {
 		t.Errorf("started %v, want %v", second.Started, started)
 	}
 	if len(l.addrs) != 2 || l.addrs[0x5be2a07c] != "10.1.0.18:5432" {
@@ -128,6 +128,12 @@
 		"no address": func(w http.ResponseWriter, _ *http.Request) {
 			w.Write([]byte(strings.Replace(page, "10.1.0.18:5432", "", 1)))
 		},
+		"absurd start": func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(strings.Replace(page, "1767225600123", "-4", 1)))
+		},
+		"negative weight": func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(strings.Replace(page, "1.5", "-1.5", 1)))
+		},
 		"too large a cell": func(w http.ResponseWriter, _ *http.Request) {
 			w.Write([]byte(strings.Replace(page, `"cell":3`, `"cell":70000`, 1)))
 		},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,7 +40,8 @@
 	table   map[uint32]*entry
 	last    uint32 // id handed out
 	timers  map[uint32]time.Duration
-	sooner  chan struct{} // a timer was set
+	next    time.Duration // when Run looks at the timers again
+	sooner  chan struct{} // a timer was set for before that
 }
 
 // entry is an exchange with the number of sends made for it.
@@ -84,6 +85,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
+	d.next = now // what is set from here on needs no waking
 	var due []uint32
 	for id, at := range d.timers {
 		if at <= now {
@@ -94,11 +96,11 @@
 		delete(d.timers, id)
 		d.gateway.Timer(now, id)
 	}
-	next := time.Hour
+	d.next = now + time.Hour
 	for _, at := range d.timers {
-		next = min(next, max(0, at-d.clock.Now()))
+		d.next = min(d.next, at)
 	}
-	return next
+	return max(0, d.next-d.clock.Now())
 }
 
 // Take hands an op over; its time counts from here.
@@ -235,6 +237,9 @@
 
 func (d *Dispatch) Timer(id uint32, at time.Duration) {
 	d.timers[id] = at
+	if at >= d.next {
+		return
+	}
 	select {
 	case d.sooner <- struct{}{}:
 	default:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -71,7 +71,7 @@
 	}
 	d.SendEnded(read, 0, replica, exchange.Ended{Result: choice.Acked, Position: choice.LongPast, Answer: []byte("row")})
 	<-read.Done
-	if read.Outcome != exchange.Acked || string(read.Answer) != "row" || write.Ended() {
+	if read.Outcome != exchange.Acked || string(read.Answer) != "row" || write.Over() {
 		t.Errorf("%+v, %+v", read, write)
 	}
 }
@@ -86,7 +86,7 @@
 			break
 		}
 	}
-	if len(s.sent) != 2 || s.sent[1].number != 1 || x.Ended() {
+	if len(s.sent) != 2 || s.sent[1].number != 1 || x.Over() {
 		t.Errorf("%+v", s.sent)
 	}
 }
@@ -143,6 +143,19 @@
 	}
 }
 
+func TestOnlyAnEarlierTimerWakesTheLoop(t *testing.T) {
+	d, _, _ := start(t)
+	d.tick()
+	for _, c := range []struct {
+		at    time.Duration
+		wakes int
+	}{{d.next + time.Millisecond, 0}, {d.next - time.Millisecond, 1}} {
+		if d.Timer(1, c.at); len(d.sooner) != c.wakes {
+			t.Errorf("at %v, next at %v: %d signs", c.at, d.next, len(d.sooner))
+		}
+	}
+}
+
 func TestASessionsMarkIsNeverTakenForNone(t *testing.T) {
 	d, s, _ := start(t)
 	for after, sends := range map[time.Duration]int{choice.LongPast: 1, d.clock.Now() + time.Second: 0} {
--- a/internal/exchange/clock.go
+++ b/internal/exchange/clock.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// Past is a deadline that has gone by: set on a connection, it ends what waits there at once.
+var Past = time.Unix(1, 0)
+
 // Clock counts spans since the gateway's start. The wall clock is read once, so that a step of it moves nothing.
 type Clock struct{ start time.Time }
 
@@ -14,7 +17,11 @@
 // Time is the moment at which the clock shows the span.
 func (c Clock) Time(at time.Duration) time.Time { return c.start.Add(at) }
 
-// FromUnix is the span at a Unix time.
-func (c Clock) FromUnix(at time.Duration) time.Duration {
-	return at - time.Duration(c.start.UnixNano())
+// FromUnix is the span at a Unix time in milliseconds. It is false for times that cannot be meant: none at all, or past
+// what a span can hold.
+func (c Clock) FromUnix(ms int64) (at time.Duration, ok bool) {
+	if ms <= 0 || ms >= 1<<43 {
+		return 0, false
+	}
+	return time.Duration(ms)*time.Millisecond - time.Duration(c.start.UnixNano()), true
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,8 +38,8 @@
 	Out        bool          // a send is out
 }
 
-// Ended tells whether the op has its final answer.
-func (x *Exchange) Ended() bool {
+// Over tells whether the op has ended.
+func (x *Exchange) Over() bool {
 	select {
 	case <-x.Done:
 		return true
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -114,7 +114,8 @@
 func TestUnusableComments(t *testing.T) {
 	for _, text := range []string{"", "SELECT 1", "/*", "/*/", "*/", "/**/", "SELECT 1 /* id=1,c=b */", "/* id=1,d=5 */",
 		"/* c=b,d=5 */", "/* id=1,c=b,d=-5 */", "/* id=1,c=b,d= */", "/* id=1,c=b,d=99999999999 */",
-		"/* id=1,c=b,d=5,cluster=70000 */", "/* id=1,c=b,d=5,after=x */", "/* id=1,c=b,d=5 */ SELECT 1", "/* id=1,c=b,d=5,z */"} {
+		"/* id=1,c=b,d=5,cluster=70000 */", "/* id=1,c=b,d=5,after=x */",
+		"/* id=1,c=b,d=5,after=9007199254740991 */", "/* id=1,c=b,d=5 */ SELECT 1", "/* id=1,c=b,d=5,z */"} {
 		if _, err := Describe([]byte(text)); !errors.Is(err, ErrComment) {
 			t.Errorf("%q: %v", text, err)
 		}
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -15,9 +15,9 @@
 	ID, OpType, Key []byte
 	Remaining       uint64 // milliseconds that the client waits
 	Group           uint16
-	After           uint64 // Unix milliseconds of the position to see, 0 where none is told
-	Again           bool   // a client's retry
-	from, to        int    // where the digits of d stand
+	After           int64 // Unix milliseconds of the position to see, 0 where none is told
+	Again           bool  // a client's retry
+	from, to        int   // where the digits of d stand
 }
 
 // Describe reads the quoted key and the comment of a statement.
@@ -72,7 +72,8 @@
 		n, err = number(value, 16)
 		s.Group = uint16(n)
 	case "after":
-		s.After, err = number(value, 53)
+		n, err = number(value, 43)
+		s.After = int64(n)
 	case "r":
 		s.Again = string(value) == "1"
 	}
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -31,8 +31,7 @@
 func (p *Pool) connect(ctx context.Context, j *job, addr string) {
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		p.counts.ServerRefused.Add(1)
-		p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+		p.refused(j)
 		return
 	}
 	defer nc.Close()
@@ -41,8 +40,7 @@
 	until, _ := ctx.Deadline()
 	nc.SetDeadline(until)
 	if !p.carry(j, c) || !c.open() {
-		p.counts.ServerRefused.Add(1)
-		p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+		p.refused(j)
 		return
 	}
 	for j != nil {
@@ -58,6 +56,12 @@
 	}
 }
 
+// refused ends a job for which no connection came up.
+func (p *Pool) refused(j *job) {
+	p.counts.ServerRefused.Add(1)
+	p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+}
+
 // carry notes which connection has the job; false if it was given up meanwhile.
 func (p *Pool) carry(j *job, c *conn) bool {
 	p.mu.Lock()
@@ -92,7 +96,7 @@
 	defer p.mu.Unlock()
 	c.job = nil
 	if c.left = p.closed; c.left {
-		c.net.SetDeadline(past)
+		c.net.SetDeadline(exchange.Past)
 		return
 	}
 	// Closed long before the server does it, so that no query crosses the server's close.
@@ -144,5 +148,5 @@
 // quit closes a connection that was taken out of the idle list. The mutex is held.
 func (c *conn) quit() {
 	c.left = true
-	c.net.SetDeadline(past)
+	c.net.SetDeadline(exchange.Past)
 }
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"log"
 	"net"
 	"sync"
 	"time"
@@ -115,7 +114,7 @@
 		p.idle[j.server] = list[:len(list)-1]
 		p.counts.ServerReused.Add(1)
 		c.job, j.conn = j, c
-		c.net.SetReadDeadline(past) // ends the watch of the idle connection
+		c.net.SetReadDeadline(exchange.Past) // ends the watch of the idle connection
 		return
 	}
 	ctx, stop := context.WithDeadline(p.ctx, p.clock.Time(min(j.sentAt+p.told.ConnectTimeout, j.due)))
@@ -166,7 +165,7 @@
 func (p *Pool) cancel(j *job) {
 	j.cancelled = true
 	if j.conn != nil {
-		j.conn.net.SetDeadline(past)
+		j.conn.net.SetDeadline(exchange.Past)
 	} else {
 		j.stop()
 	}
@@ -197,47 +196,15 @@
 		delete(p.out, j.x)
 	}
 	p.mu.Unlock()
-	p.count(j, e.Result)
 	if j.x != nil {
+		p.counts.SendEnds[e.Result].Add(1)
 		p.events.SendEnded(j.x, j.number, j.server, e)
-	} else {
-		p.events.ProbeEnded(j.server, e)
-	}
-}
-
-func (p *Pool) count(j *job, r choice.Result) {
-	c := p.counts
-	if j.x == nil {
-		if r == choice.Acked {
-			c.ProbesAcked.Add(1)
-		}
 		return
 	}
-	switch r {
-	case choice.Acked:
-		c.SendAcked.Add(1)
-	case choice.ServerError:
-		c.SendError.Add(1)
-	case choice.ServerFull:
-		c.SendFull.Add(1)
-	case choice.TimedOut:
-		c.SendTimedOut.Add(1)
-	case choice.NoConnection:
-		c.SendNoConnection.Add(1)
-	case choice.Reset:
-		c.SendReset.Add(1)
-	case choice.Cancelled:
-		c.SendCancelled.Add(1)
-	case choice.NotSent:
-		c.SendNotSent.Add(1)
-	case choice.Miss:
-		c.SendMissed.Add(1)
-	default:
-		log.Printf("event=unknown_result result=%d", r)
+	if e.Result == choice.Acked {
+		p.counts.ProbesAcked.Add(1)
 	}
+	p.events.ProbeEnded(j.server, e)
 }
 
-// past is a deadline that has gone by: it ends a read or write at once.
-var past = time.Unix(1, 0)
-
 var dialer = net.Dialer{KeepAlive: -1}
--- a/internal/serverside/receive.go
+++ b/internal/serverside/receive.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
-	"time"
 
 	"gorsewell/choice"
 	"gorsewell/internal/exchange"
@@ -124,8 +124,9 @@
 	case "role":
 		e.Role = roleOf(value)
 	case "applied_ms":
-		if ms, err := strconv.ParseInt(value, 10, 64); err == nil && ms > 0 {
-			e.Position = c.pool.clock.FromUnix(time.Duration(ms) * time.Millisecond)
+		ms, _ := strconv.ParseInt(value, 10, 64)
+		if at, ok := c.pool.clock.FromUnix(ms); ok {
+			e.Position = at
 		}
 	case "load":
 		e.Report = c.report(value)
@@ -149,14 +150,15 @@
 	for field := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
+		if err != nil || !(math.Abs(v) < 1<<40) {
 			continue
 		}
 		switch name {
 		case "x0":
 			// The number may have been rounded up: a millisecond less never claims too much.
-			ms := int64(v*1000) - 1
-			r.Position, seen = c.pool.clock.FromUnix(time.Duration(ms)*time.Millisecond), true
+			if at, ok := c.pool.clock.FromUnix(int64(v*1000) - 1); ok {
+				r.Position, seen = at, true
+			}
 		case "x1":
 			r.Role, seen = choice.Replica, true
 			if v == 1 {
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -32,7 +32,7 @@
 func (c *conn) ready(j *job) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if j.cancelled || j.x != nil && j.x.Ended() {
+	if j.cancelled || j.x != nil && j.x.Over() {
 		return false
 	}
 	c.net.SetDeadline(c.pool.clock.Time(j.due))
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -318,8 +318,8 @@
 		t.Fatalf("%+v after %q", r, q)
 	}
 	// Rounded towards the past, by no more than two milliseconds.
-	if off := p.clock.FromUnix(time.Duration(at.UnixNano())) - r.Report.Position; off < 0 || off > 3*time.Millisecond {
-		t.Errorf("the position is off by %v", off)
+	if was, _ := p.clock.FromUnix(at.UnixMilli()); was-r.Report.Position < 0 || was-r.Report.Position > 3*time.Millisecond {
+		t.Errorf("the position is %v, said at %v", r.Report.Position, was)
 	}
 	p.told.ReportNames = nil
 	p.Probe(server)
