--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -13,7 +13,6 @@
 	Terminate        = 'X'
 	Authentication   = 'R'
 	ParameterStatus  = 'S'
-	BackendKeyData   = 'K'
 	ReadyForQuery    = 'Z'
 	RowDescription   = 'T'
 	DataRow          = 'D'
