--- a/cmd/gorsewell/main.go
+++ b/cmd/gorsewell/main.go
@@ -87,7 +87,7 @@
 
 // spare is how many descriptors are kept for the standard streams, the listener, discovery, the runtime and clients
 // that are being turned away.
-const spare = 48
+const spare = 32
 
 func run() error {
 	g, told, err := read()
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gorsewell/internal/exchange"
+	"gorsewell/internal/invariant"
 	"gorsewell/internal/pgwire"
 )
 
@@ -30,6 +31,7 @@
 			<-r.x.Done
 			r.bytes = final(r.x)
 		}
+		// A client gets as long to take an answer as a server to take a connection, or all that is left of its time.
 		until := c.front.clock.Now() + c.front.told.ConnectTimeout
 		if r.x != nil {
 			until = max(until, r.x.Due)
@@ -40,7 +42,9 @@
 				c.net.Close() // a value that is not whole must not look whole
 			}
 		}
-		if c.owed.Add(-1) == 0 && c.front.closing.Load() {
+		owed := c.owed.Add(-1)
+		invariant.Check(owed >= 0, "no more replies are written than are owed")
+		if owed == 0 && c.front.closing.Load() {
 			c.net.SetReadDeadline(exchange.Past)
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -38,7 +38,8 @@
 	mu      sync.Mutex // around every call of the module, and all below
 	gateway *choice.Gateway
 	table   map[uint32]*entry
-	last    uint32 // id handed out
+	last    uint32        // id handed out
+	seen    time.Duration // the newest time told to the module
 	timers  map[uint32]time.Duration
 	next    time.Duration // when Run looks at the timers again
 	sooner  chan struct{} // a timer was set for before that
@@ -62,7 +63,7 @@
 	defer d.mu.Unlock()
 	d.servers, d.discovery = s, l
 	d.gateway = choice.New(d, told)
-	d.gateway.List(d.clock.Now(), choice.ListCached, known)
+	d.gateway.List(d.now(), choice.ListCached, known)
 }
 
 // Run calls the module's timers until the context ends.
@@ -84,7 +85,7 @@
 func (d *Dispatch) tick() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
+	now := d.now()
 	d.next = now // what is set from here on needs no waking
 	var due []uint32
 	for id, at := range d.timers {
@@ -103,11 +104,19 @@
 	return max(0, d.next-d.clock.Now())
 }
 
+// now is the time of the event being handled. The mutex is held.
+func (d *Dispatch) now() time.Duration {
+	now := d.clock.Now()
+	invariant.Check(now >= d.seen, "the module's time never goes back")
+	d.seen = now
+	return now
+}
+
 // Take hands an op over; its time counts from here.
 func (d *Dispatch) Take(x *exchange.Exchange) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
+	now := d.now()
 	d.last++
 	for d.table[d.last] != nil {
 		d.last++
@@ -129,7 +138,7 @@
 	defer d.mu.Unlock()
 	if x.Outcome == exchange.Held {
 		d.finish(x, exchange.Left)
-		d.gateway.ClientGone(d.clock.Now(), x.ID)
+		d.gateway.ClientGone(d.now(), x.ID)
 	}
 }
 
@@ -166,7 +175,7 @@
 func (d *Dispatch) SendEnded(x *exchange.Exchange, number uint8, server uint32, e exchange.Ended) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
+	now := d.now()
 	invariant.Check(x.Out, "a send ends once")
 	x.Out = false
 	if e.Result == choice.Acked && x.Outcome == exchange.Held {
@@ -182,7 +191,7 @@
 func (d *Dispatch) ProbeEnded(server uint32, e exchange.Ended) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
+	now := d.now()
 	d.report(now, server, e.Report)
 	d.gateway.ProbeAnswer(now, server, e.Result, e.Took)
 }
@@ -197,7 +206,7 @@
 func (d *Dispatch) Listed(scope choice.ListScope, listed []choice.Listed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.gateway.List(d.clock.Now(), scope, listed)
+	d.gateway.List(d.now(), scope, listed)
 }
 
 // Send implements choice.Host, as do all methods below.
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -5,6 +5,7 @@
 
 	"gorsewell/choice"
 	"gorsewell/internal/exchange"
+	"gorsewell/internal/invariant"
 	"gorsewell/internal/pgwire"
 )
 
@@ -14,6 +15,7 @@
 	if !c.ready(j) {
 		return exchange.Ended{Result: choice.NotSent, Position: choice.LongPast}, true
 	}
+	invariant.Check(len(c.window.Bytes()) == 0, "a connection that takes a send has no bytes left over")
 	c.write(j)
 	if n, err := c.net.Write(c.query); err != nil || n < len(c.query) {
 		p.counts.ServerBroken.Add(1)
