--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -40,8 +40,11 @@
 	close(x.Done)
 }
 
+// id is the name that the client gave the op.
+func id(x *exchange.Exchange) string { return string(x.Statement.(*pgwire.Statement).ID) }
+
 func ack(x *exchange.Exchange) {
-	row := standin.Row("v"+string(x.Statement.ID), "primary", 1)
+	row := standin.Row("v"+id(x), "primary", 1)
 	x.Answer = row[:len(row)-6] // without ReadyForQuery, which is the front's to add
 	finish(x, exchange.Acked)
 }
@@ -104,7 +107,7 @@
 		expect(t, c, "")
 		expect(t, c, "v1")
 	}
-	if x := d.taken[0]; string(x.Statement.Text) != ask || x.OpType != 0 || x.Statement.Group != 3 ||
+	if x := d.taken[0]; string(x.Statement.(*pgwire.Statement).Text) != ask || x.OpType != 0 || x.Group != 3 || x.Again ||
 		x.After != choice.LongPast {
 		t.Errorf("%+v", x)
 	}
@@ -113,7 +116,7 @@
 func TestAnswersComeInTheOrderOfTheCommands(t *testing.T) {
 	t.Parallel()
 	_, _, addr, _ := front(t, 8, func(x *exchange.Exchange) {
-		if string(x.Statement.ID) == "1" {
+		if id(x) == "1" {
 			time.Sleep(50 * time.Millisecond)
 		}
 		ack(x)
@@ -302,7 +305,7 @@
 func TestAPlannedStopAnswersAllThatIsTaken(t *testing.T) {
 	t.Parallel()
 	f, d, addr, stop := front(t, 8, func(x *exchange.Exchange) {
-		if string(x.Statement.ID) == "1" {
+		if id(x) == "1" {
 			time.Sleep(150 * time.Millisecond)
 			ack(x)
 		}
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -155,8 +155,8 @@
 		return nil
 	}
 	now := c.front.clock.Now()
-	x := &exchange.Exchange{Statement: s, OpType: kind, Session: session(s.Key), After: choice.LongPast,
-		Due: now + time.Duration(s.Remaining)*time.Millisecond, Done: make(chan struct{})}
+	x := &exchange.Exchange{Statement: s, OpType: kind, Group: s.Group, Session: session(s.Key), Again: s.Again,
+		Due: now + s.Remaining, After: choice.LongPast, Done: make(chan struct{})}
 	if at, ok := c.front.clock.FromUnix(s.After); ok {
 		x.After = at
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,7 +129,7 @@
 	if x.After != choice.LongPast {
 		ago = max(1, now-x.After)
 	}
-	d.gateway.Op(now, x.ID, x.OpType, x.Session, x.Due, x.Statement.Group, ago, x.Statement.Again)
+	d.gateway.Op(now, x.ID, x.OpType, x.Session, x.Due, x.Group, ago, x.Again)
 }
 
 // Left says that an op's client has gone.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gorsewell/choice"
-	"gorsewell/internal/pgwire"
 )
 
 // Outcome is how an op ended.
@@ -21,12 +20,20 @@
 	Left // by its client: no answer is owed
 )
 
+// Statement is what the client asked for, in whatever protocol; it belongs to the exchange.
+type Statement interface {
+	// AppendQuery appends what a server is to be sent, unchanged but for the time that remains.
+	AppendQuery(b []byte, remaining time.Duration) []byte
+}
+
 // Exchange is one op. The client side fills in what was asked and waits for Done; what is below belongs to
 // the desk until then.
 type Exchange struct {
-	Statement pgwire.Statement // of a copy that the exchange owns
+	Statement Statement
 	OpType    uint8
+	Group     uint16
 	Session   uint64
+	Again     bool          // its client has tried before
 	Due       time.Duration // when its client leaves
 	After     time.Duration // the position to see, or choice.LongPast
 
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 )
 
 const insert = `INSERT INTO facts (code, data) VALUES ('7f3a9c21', '\x9f03') RETURNING data ` +
@@ -90,7 +91,7 @@
 		t.Fatal(err)
 	}
 	if string(s.ID) != "9b1f03aa" || string(s.OpType) != "order" || string(s.Key) != "7f3a9c21" ||
-		s.Remaining != 480 || s.Group != 2 || s.After != 0 || s.Again {
+		s.Remaining != 480*time.Millisecond || s.Group != 2 || s.After != 0 || s.Again {
 		t.Errorf("%+v", s)
 	}
 	s, err = Describe([]byte(`SELECT data FROM facts WHERE code = 'a' /* id=1,c=b,d=5,r=1,after=1767225600123 */;`))
@@ -104,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, n, err := Next(s.AppendQuery(nil, 77))
+	m, n, err := Next(s.AppendQuery(nil, 77999*time.Microsecond))
 	want := strings.Replace(insert, "d=480", "d=77", 1) + "\x00"
 	if err != nil || n != len(want)+5 || m.Type != Query || string(m.Body) != want {
 		t.Errorf("%q, size %d, %v", m.Body, n, err)
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"time"
 )
 
 // ErrComment says that a statement lacks the comment that describes the op, or that it cannot be used.
@@ -13,7 +14,7 @@
 type Statement struct {
 	Text            []byte
 	ID, OpType, Key []byte
-	Remaining       uint64 // milliseconds that the client waits
+	Remaining       time.Duration // for which the client waits
 	Group           uint16
 	After           int64 // Unix milliseconds of the position to see, 0 where none is told
 	Again           bool  // a client's retry
@@ -21,8 +22,8 @@
 }
 
 // Describe reads the quoted key and the comment of a statement.
-func Describe(text []byte) (s Statement, err error) {
-	s.Text = text
+func Describe(text []byte) (*Statement, error) {
+	s := &Statement{Text: text}
 	end := bytes.TrimRight(text, " ;\n")
 	open := bytes.LastIndex(end, []byte("/*"))
 	if open < 0 || !bytes.HasSuffix(end, []byte("*/")) || open+4 > len(end) {
@@ -65,7 +66,7 @@
 		s.OpType = value
 	case "d":
 		n, err = number(value, 32)
-		s.Remaining = n
+		s.Remaining = time.Duration(n) * time.Millisecond
 		s.from = at + bytes.IndexByte(raw, '=') + 1
 		s.to = s.from + len(value)
 	case "cluster":
@@ -88,12 +89,12 @@
 	return n, nil
 }
 
-// AppendStatement appends the query that passes the statement on, unchanged but for the time that remains.
-func (s *Statement) AppendQuery(b []byte, remaining uint64) []byte {
+// AppendQuery appends the query that passes the statement on, unchanged but for the time that remains.
+func (s *Statement) AppendQuery(b []byte, remaining time.Duration) []byte {
 	start := len(b)
 	b = append(b, Query, 0, 0, 0, 0)
 	b = append(b, s.Text[:s.from]...)
-	b = strconv.AppendUint(b, remaining, 10)
+	b = strconv.AppendInt(b, max(0, remaining.Milliseconds()), 10)
 	b = append(append(b, s.Text[s.to:]...), 0)
 	be.PutUint32(b[start+1:], uint32(len(b)-start-1))
 	return b
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -46,8 +46,7 @@
 	c.query = c.query[:0]
 	switch {
 	case j.x != nil:
-		left := max(0, j.due-c.pool.clock.Now())
-		c.query = j.x.Statement.AppendQuery(c.query, uint64(left.Milliseconds()))
+		c.query = j.x.Statement.AppendQuery(c.query, j.due-c.pool.clock.Now())
 	case len(c.pool.told.ReportNames) > 0:
 		c.query = pgwire.AppendQuery(c.query, "SHOW load")
 	default:
