--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -24,7 +24,7 @@
 	window pgwire.Window
 	query  []byte // the query being written
 	job    *job   // handed over while idle; guarded by the pool's mutex
-	left   bool   // taken out of the idle list to be closed; guarded by the pool's mutex
+	quits  bool   // taken out of the idle list to be closed; guarded by the pool's mutex
 }
 
 // connect opens a connection for the job and then serves with it until it closes.
@@ -95,7 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.job = nil
-	if c.left = p.closed; c.left {
+	if c.quits = p.closed; c.quits {
 		c.net.SetDeadline(exchange.Past)
 		return
 	}
@@ -114,7 +114,7 @@
 	_, err := c.net.Read(c.window.Room()) // nothing is due: a byte or an end closes it, a job ends the wait
 	p.mu.Lock()
 	j := c.job
-	if j == nil && !c.left {
+	if j == nil && !c.quits {
 		p.drop(c)
 	}
 	c.job = nil
@@ -147,6 +147,6 @@
 
 // quit closes a connection that was taken out of the idle list. The mutex is held.
 func (c *conn) quit() {
-	c.left = true
+	c.quits = true
 	c.net.SetDeadline(exchange.Past)
 }
--- a/internal/serverside/receive.go
+++ b/internal/serverside/receive.go
@@ -4,7 +4,7 @@
 	"errors"
 	"io"
 	"math"
-	"net"
+	"os"
 	"strconv"
 	"strings"
 
@@ -31,41 +31,40 @@
 	}
 }
 
+// answer is what has been read of one.
+type answer struct {
+	exchange.Ended
+	over bool // one of the messages that end a query has come
+}
+
+var errReady = errors.New("ready for the next query")
+
 // receive reads the answer to a query that was written whole, up to ReadyForQuery. Its role and position come
 // only there. The connection is whole if it got so far.
 func (c *conn) receive(j *job) (e exchange.Ended, whole bool) {
-	e.Position = choice.LongPast
-	ended := false // one of the messages that end a query has come
-	for {
-		m, err := c.next()
-		if err == nil {
-			err = c.take(j, m, &e, &ended)
-		}
-		if err == errReady {
-			return e, true
+	a := answer{Ended: exchange.Ended{Position: choice.LongPast}}
+	var err error
+	for err == nil {
+		var m pgwire.Message
+		if m, err = c.next(); err == nil {
+			err = c.take(j, m, &a)
 		}
-		if err == nil {
-			continue
-		}
-		var ne net.Error
-		switch {
-		case ended: // the answer is known, only what would follow is not
-		case errors.As(err, &ne) && ne.Timeout():
-			e.Result = choice.TimedOut
-		default:
-			e.Result = choice.Reset
-		}
-		return e, false
 	}
+	switch {
+	case a.over: // the answer is known, whatever follows it or does not
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a.Result = choice.TimedOut
+	default:
+		a.Result = choice.Reset
+	}
+	return a.Ended, err == errReady
 }
 
-var errReady = errors.New("ready for the next query")
-
 // take looks at one message of an answer.
-func (c *conn) take(j *job, m pgwire.Message, e *exchange.Ended, ended *bool) error {
+func (c *conn) take(j *job, m pgwire.Message, a *answer) error {
 	switch m.Type {
 	case pgwire.RowDescription, pgwire.DataRow, pgwire.CommandComplete:
-		if *ended {
+		if a.over || len(a.Answer)+len(m.Body) > pgwire.MaxMessage {
 			return c.malformed()
 		}
 		if j.x == nil && m.Type == pgwire.DataRow {
@@ -73,27 +72,27 @@
 			if err != nil {
 				return c.malformed()
 			}
-			e.Report = c.report(string(value))
+			a.Report = c.report(string(value))
 		} else if j.x != nil {
-			e.Answer = pgwire.AppendRaw(e.Answer, m)
+			a.Answer = pgwire.AppendRaw(a.Answer, m)
 		}
-		*ended = m.Type == pgwire.CommandComplete
+		a.over = m.Type == pgwire.CommandComplete
 	case pgwire.ErrorResponse:
 		code, err := pgwire.Code(m.Body)
-		if err != nil || *ended {
+		if err != nil || a.over {
 			return c.malformed()
 		}
-		*ended = true
-		e.Result = resultOf(string(code))
+		a.over = true
+		a.Result = resultOf(string(code))
 	case pgwire.ParameterStatus:
 		name, value, err := pgwire.Parameter(m.Body)
 		if err != nil {
 			return c.malformed()
 		}
-		c.parameter(string(name), string(value), e)
+		c.parameter(string(name), string(value), a)
 	case pgwire.NoticeResponse, pgwire.NotificationResp:
 	case pgwire.ReadyForQuery:
-		if !*ended || len(c.window.Bytes()) > 0 {
+		if !a.over || len(c.window.Bytes()) > 0 {
 			return c.malformed()
 		}
 		return errReady
@@ -119,17 +118,17 @@
 	return choice.ServerError
 }
 
-func (c *conn) parameter(name, value string, e *exchange.Ended) {
+func (c *conn) parameter(name, value string, a *answer) {
 	switch name {
 	case "role":
-		e.Role = roleOf(value)
+		a.Role = roleOf(value)
 	case "applied_ms":
 		ms, _ := strconv.ParseInt(value, 10, 64)
 		if at, ok := c.pool.clock.FromUnix(ms); ok {
-			e.Position = at
+			a.Position = at
 		}
 	case "load":
-		e.Report = c.report(value)
+		a.Report = c.report(value)
 	}
 }
 
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -16,7 +16,7 @@
 		return exchange.Ended{Result: choice.NotSent, Position: choice.LongPast}, true
 	}
 	invariant.Check(len(c.window.Bytes()) == 0, "a connection that takes a send has no bytes left over")
-	c.write(j)
+	c.compose(j)
 	if n, err := c.net.Write(c.query); err != nil || n < len(c.query) {
 		p.counts.ServerBroken.Add(1)
 		return exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast}, false
@@ -41,8 +41,8 @@
 	return true
 }
 
-// write makes the one write of the job's query.
-func (c *conn) write(j *job) {
+// compose puts together the query that one write sends.
+func (c *conn) compose(j *job) {
 	c.query = c.query[:0]
 	switch {
 	case j.x != nil:
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -1,6 +1,7 @@
 package serverside
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -119,6 +120,7 @@
 		{"not a message", []byte("\xff\x00\x00\x00\x00"), true, choice.Reset},
 		{"ready too early", pgwire.AppendReady(nil), true, choice.Reset},
 		{"a role without an end", pgwire.AppendMessage(nil, pgwire.ParameterStatus, "role"), true, choice.Reset},
+		{"more than a value", bytes.Repeat(row[:42], 4000), true, choice.Reset},
 		{"silence", nil, true, choice.TimedOut},
 	} {
 		p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return c.answer, c.stays }})
