--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -84,6 +84,9 @@
 func (n *Names) Listed(p *Page) (listed []choice.Listed, addrs map[uint32]string, err error) {
 	addrs = map[uint32]string{}
 	for _, e := range p.Servers {
+		if e.ID == "" {
+			return nil, nil, errors.New("a server has no id")
+		}
 		l := choice.Listed{ID: n.server(e.ID), Group: e.Cell, Zone: place(&n.zones, e.Zone),
 			Kind: place(&n.kinds, e.Kind), Primary: e.Role == "primary", Started: choice.LongPast, Weight: e.Weight}
 		switch e.State {
@@ -104,7 +107,7 @@
 			l.Started = at
 		}
 		if l.State != choice.Gone {
-			if _, _, err := net.SplitHostPort(e.Addr); err != nil || e.ID == "" || e.Weight < 0 {
+			if _, _, err := net.SplitHostPort(e.Addr); err != nil || e.Weight < 0 {
 				return nil, nil, fmt.Errorf("server %q has address %q, weight %v", e.ID, e.Addr, e.Weight)
 			}
 			addrs[l.ID] = e.Addr
@@ -159,14 +162,13 @@
 	}
 }
 
-// Run makes the calls that were asked for until the context ends.
+// Run makes the calls that were asked for until the context ends. An asking waits for the call under way.
 func (c *Client) Run(ctx context.Context) error {
 	defer c.http.CloseIdleConnections()
 	watching := false
 	for ctx.Err() == nil {
-		if watching {
-			watching = c.call(ctx, "?since="+strconv.FormatUint(c.version, 10)+
-				"&timeout_ms="+strconv.FormatInt(c.wait.Milliseconds(), 10), c.wait+c.within)
+		if watching && len(c.ask) == 0 {
+			watching = c.changes(ctx, c.wait)
 			continue
 		}
 		select {
@@ -174,13 +176,17 @@
 		case <-c.ask:
 			c.call(ctx, "", c.within)
 		case <-c.watch:
-			// The first call does not wait, so that each asking has its answer.
-			watching = c.call(ctx, "?since="+strconv.FormatUint(c.version, 10)+"&timeout_ms=0", c.within)
+			watching = c.changes(ctx, 0) // without a wait, so that each asking has its answer
 		}
 	}
 	return nil
 }
 
+// changes asks for what is newer than the list held, and waits for it.
+func (c *Client) changes(ctx context.Context, wait time.Duration) bool {
+	return c.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", c.version, wait.Milliseconds()), wait+c.within)
+}
+
 // call makes one call and hands over what it told; false if it failed.
 func (c *Client) call(ctx context.Context, query string, within time.Duration) bool {
 	limited, cancel := context.WithTimeout(ctx, within)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+func TestAnAskingDuringAWatch(t *testing.T) {
+	c, lists := client(t, 100*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" {
+			w.Write([]byte(page))
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		w.Write([]byte(`{"version":42,"full":false,"servers":[]}`))
+	})
+	c.Watch()
+	lists.next(t)
+	c.Ask()
+	full := 0
+	for range 6 { // the watch goes on around it
+		if lists.next(t).scope == choice.ListFull {
+			full++
+		}
+	}
+	if full != 1 {
+		t.Errorf("%d whole lists", full)
+	}
+}
+
 func TestCallsThatFail(t *testing.T) {
 	for name, h := range map[string]http.HandlerFunc{
 		"refuses":     func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
@@ -134,6 +157,7 @@
 		"negative weight": func(w http.ResponseWriter, _ *http.Request) {
 			w.Write([]byte(strings.Replace(page, "1.5", "-1.5", 1)))
 		},
+		"no id": func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte(strings.Replace(page, "s-1", "", 1))) },
 		"too large a cell": func(w http.ResponseWriter, _ *http.Request) {
 			w.Write([]byte(strings.Replace(page, `"cell":3`, `"cell":70000`, 1)))
 		},
