--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -69,7 +69,7 @@
 	return errors.Join(err, group.Wait())
 }
 
-// accept takes connections until the listener fails, or its deadline passes after the context's end.
+// accept takes connections until the listener fails, or its time is up after the context's end.
 func (f *Front) accept(ctx context.Context, l *net.TCPListener, group *errgroup.Group) error {
 	for failing := false; ; {
 		nc, err := l.AcceptTCP()
--- a/internal/exchange/clock.go
+++ b/internal/exchange/clock.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Past is a deadline that has gone by: set on a connection, it ends what waits there at once.
+// Past is a time long gone: as a connection's time limit it ends what waits there at once.
 var Past = time.Unix(1, 0)
 
 // Clock counts spans since the gateway's start. The wall clock is read once, so that a step of it moves nothing.
