SIGHUP reads the configuration again and moves to its discovery at once

Nothing in cmd/gorsewell caught the signal, and discovery.Client had one address for good.

Now SIGHUP is caught from the first line of run to the end of the process. The file is read and checked as at a start; its discovery goes over LB_DISCOVERY. discovery.Client.Move drops the call under way and asks the new address for the whole list, as versions may count otherwise there, then watches on. A bad file is one log line.

--- a/cmd/gorsewell/main.go
+++ b/cmd/gorsewell/main.go
@@ -47,7 +47,8 @@
 	Deployment json.RawMessage `json:"settings"`
 }
 
-func read() (*given, *deployment.Told, error) {
+// read reads the file at LB_CONFIG. At the start the environment goes over the file; later the file is newer.
+func read(starting bool) (*given, *deployment.Told, error) {
 	path := os.Getenv("LB_CONFIG")
 	if path == "" {
 		return nil, nil, errors.New("LB_CONFIG is not set")
@@ -61,13 +62,16 @@
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
 	for name, field := range map[string]*string{"LB_NAME": &g.Name, "LB_LISTEN": &g.Listen, "LB_DISCOVERY": &g.Discovery} {
-		if v := os.Getenv(name); v != "" {
+		if v := os.Getenv(name); v != "" && (starting || *field == "" && name != "LB_DISCOVERY") {
 			*field = v
 		}
 		if *field == "" {
 			return nil, nil, fmt.Errorf("%s is not set", name)
 		}
 	}
+	if _, _, err := net.SplitHostPort(g.Discovery); err != nil {
+		return nil, nil, fmt.Errorf("discovery: %w", err)
+	}
 	values, err := deployment.FromJSON(g.Deployment)
 	if err != nil {
 		return nil, nil, err
@@ -82,15 +86,42 @@
 	if len(told.OpTypes) == 0 {
 		return nil, nil, errors.New("the settings name no op type")
 	}
+	if _, _, err := discovery.NewNames(exchange.StartClock(), told).Listed(&g.Known); err != nil {
+		return nil, nil, fmt.Errorf("known: %w", err)
+	}
 	return g, told, nil
 }
 
+// reload reads the file again at each SIGHUP and moves to its discovery. Nothing else of it can change while running.
+func reload(ctx context.Context, asked <-chan os.Signal, at string, lists *discovery.Client) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-asked:
+		}
+		g, _, err := read(false)
+		switch {
+		case err != nil:
+			log.Printf("event=reload_failed error=%q", err)
+		case g.Discovery == at:
+			log.Printf("event=reloaded discovery=%s", at)
+		default:
+			at = g.Discovery
+			lists.Move(at)
+		}
+	}
+}
+
 // spare is how many descriptors are kept for the standard streams, the listener, discovery, the runtime and clients
 // that are being turned away.
 const spare = 32
 
 func run() error {
-	g, told, err := read()
+	// Caught from here until the process ends: what follows a planned stop must not end it either.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	g, told, err := read(true)
 	if err != nil {
 		return err
 	}
@@ -107,7 +138,7 @@
 	names := discovery.NewNames(clock, told)
 	known, addrs, err := names.Listed(&g.Known)
 	if err != nil {
-		return fmt.Errorf("known: %w", err)
+		return err
 	}
 	addr, err := net.ResolveTCPAddr("tcp", g.Listen)
 	if err != nil {
@@ -135,6 +166,7 @@
 	group.Go(func() error { return desk.Run(work) })
 	group.Go(func() error { return lists.Run(work) })
 	group.Go(pool.Wait)
+	group.Go(func() error { return reload(work, again, g.Discovery, lists) })
 	group.Go(func() error { return printCounters(work, counts) })
 	err = front.Serve(stop, l)
 	finish()
--- a/cmd/gorsewell/main_test.go
+++ b/cmd/gorsewell/main_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -30,7 +32,7 @@
 const ask = "SELECT data FROM facts WHERE code = 'k' /* id=%d,c=lookup,d=2500,cluster=0 */"
 
 // gateway runs the program against a group until the test ends it.
-func gateway(t *testing.T, answer func(role, query string) ([]byte, bool)) (*exec.Cmd, string, *strings.Builder) {
+func gateway(t *testing.T, answer func(role, query string) ([]byte, bool), env ...string) (*exec.Cmd, string, *strings.Builder, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0") // for an address that is free
 	if err != nil {
@@ -49,6 +51,7 @@
 	}
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), asGateway+"=1", "LB_CONFIG="+path)
+	cmd.Env = append(cmd.Env, env...)
 	out := &strings.Builder{}
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
@@ -58,7 +61,7 @@
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		if c, err := standin.Dial(addr); err == nil {
 			c.Close()
-			return cmd, addr, out
+			return cmd, addr, out, path
 		} else if time.Now().After(end) {
 			t.Fatalf("not up: %v, %s", err, out)
 		}
@@ -67,7 +70,7 @@
 
 func TestFromStartToPlannedStop(t *testing.T) {
 	slow := make(chan struct{})
-	cmd, addr, out := gateway(t, func(role, query string) ([]byte, bool) {
+	cmd, addr, out, _ := gateway(t, func(role, query string) ([]byte, bool) {
 		if strings.Contains(query, "id=9,") {
 			<-slow
 		}
@@ -117,6 +120,64 @@
 	}
 }
 
+// The environment names the old discovery for good. Each reload is over before the next begins, as the log shows.
+func TestSIGHUPMovesToTheDiscoveryOfTheNewFile(t *testing.T) {
+	asked := make(chan string, 16)
+	discovery := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			asked <- name + r.URL.RawQuery
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	old, next := discovery("old "), discovery("new ")
+	cmd, addr, out, path := gateway(t, func(role, _ string) ([]byte, bool) {
+		return standin.Row("v", role, time.Now().UnixMilli()), true
+	}, "LB_DISCOVERY="+old)
+	if got := <-asked; got != "old since=1&timeout_ms=0" {
+		t.Errorf("asked %q", got)
+	}
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file struct{ Discovery string }
+	if err := json.Unmarshal(good, &file); err != nil {
+		t.Fatal(err)
+	}
+	moved := strings.Replace(string(good), file.Discovery, next, 1)
+	for _, text := range []string{"", moved[:len(moved)/2], strings.Replace(moved, `"round":5000000`, `"round":"soon"`, 1),
+		strings.Replace(moved, next, "nowhere", 1), moved, moved, moved} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if got := <-asked; got != "new " {
+		t.Errorf("asked %q", got)
+	}
+	c, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got, err := c.Query(fmt.Sprintf(ask, 1)); err != nil || got != "v" {
+		t.Errorf("%q, %v", got, err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGHUP)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v: %s", err, out)
+	}
+	log := out.String()
+	if strings.Count(log, "event=reload_failed") != 4 || strings.Count(log, "event=discovery_moved") != 1 ||
+		len(asked) > 0 {
+		t.Errorf("%d more calls, %s", len(asked), log)
+	}
+}
+
 func TestMissingOrBadSurroundings(t *testing.T) {
 	good, err := standin.Start("127.0.0.1:0", nil)
 	if err != nil {
@@ -149,6 +210,7 @@
 		"no listen":        change(func(m map[string]any) { delete(m, "listen") }),
 		"bad listen":       change(func(m map[string]any) { m["listen"] = "nowhere" }),
 		"another's listen": change(func(m map[string]any) { m["listen"] = "192.0.2.1:5432" }),
+		"bad discovery":    change(func(m map[string]any) { m["discovery"] = "nowhere" }),
 		"bad seed":         change(func(m map[string]any) { m["seed"] = "xyz" }),
 		"no settings":      change(func(m map[string]any) { delete(m, "settings") }),
 		"bad setting":      change(func(m map[string]any) { m["settings"] = map[string]any{"round": "soon"} }),
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"gorsewell/choice"
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
@@ -124,6 +126,7 @@
 
 // Client asks discovery. One goroutine, Run, makes all calls one after another.
 type Client struct {
+	moves   chan string // the newest address to go on at, not gone to yet
 	base    string
 	names   *Names
 	taker   Taker
@@ -131,6 +134,7 @@
 	http    http.Client
 	within  time.Duration // in which a call that does not wait is answered
 	wait    time.Duration // for which a watch waits
+	held    bool          // the version is one that this discovery has counted
 	version uint64
 	ask     chan struct{}
 	watch   chan struct{}
@@ -139,9 +143,9 @@
 
 // New makes a client of the discovery at addr that holds the list of the version.
 func New(addr string, version uint64, names *Names, told *deployment.Told, taker Taker, counts *counters.Set) *Client {
-	c := &Client{base: "http://" + addr + "/v1/servers", names: names, taker: taker, counts: counts,
-		within: told.AskWithin / 4, wait: told.AskWithin, version: version,
-		ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
+	c := &Client{names: names, taker: taker, counts: counts, within: told.AskWithin / 4, wait: told.AskWithin,
+		held: true, version: version, moves: make(chan string, 1), ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
+	c.settle(addr)
 	if told.AskWithin <= 0 {
 		c.within, c.wait = 2*time.Second, 20*time.Second
 	}
@@ -162,28 +166,70 @@
 	}
 }
 
-// Run makes the calls that were asked for until the context ends. An asking waits for the call under way.
+// Move goes on at another address: a call under way is dropped, and what was asked for is asked there.
+func (c *Client) Move(addr string) {
+	select {
+	case <-c.moves: // never gone to
+	default:
+	}
+	c.moves <- addr
+}
+
+func (c *Client) settle(addr string) { c.base = "http://" + addr + "/v1/servers" }
+
+// Run makes the calls that were asked for until the context ends. An asking waits for the call under way, a move
+// ends it.
 func (c *Client) Run(ctx context.Context) error {
 	defer c.http.CloseIdleConnections()
-	watching := false
 	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		var next string
+		var group errgroup.Group
+		group.Go(func() error {
+			defer leave()
+			select {
+			case <-here.Done():
+			case next = <-c.moves:
+			}
+			return nil
+		})
+		c.stay(here)
+		leave()
+		group.Wait()
+		if next != "" {
+			c.http.CloseIdleConnections()
+			c.settle(next)
+			c.held = false // versions may count otherwise there
+			log.Printf("event=discovery_moved discovery=%s", next)
+			c.Watch()
+		}
+	}
+	return nil
+}
+
+// stay makes the calls at one address.
+func (c *Client) stay(here context.Context) {
+	watching := false
+	for here.Err() == nil {
 		if watching && len(c.ask) == 0 {
-			watching = c.changes(ctx, c.wait)
+			watching = c.changes(here, c.wait)
 			continue
 		}
 		select {
-		case <-ctx.Done():
+		case <-here.Done():
 		case <-c.ask:
-			c.call(ctx, "", c.within)
+			c.call(here, "", c.within)
 		case <-c.watch:
-			watching = c.changes(ctx, 0) // without a wait, so that each asking has its answer
+			watching = c.changes(here, 0) // without a wait, so that each asking has its answer
 		}
 	}
-	return nil
 }
 
-// changes asks for what is newer than the list held, and waits for it.
+// changes asks for what is newer than the list held, and waits for it; where none is, for the whole list.
 func (c *Client) changes(ctx context.Context, wait time.Duration) bool {
+	if !c.held {
+		return c.call(ctx, "", c.within)
+	}
 	return c.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", c.version, wait.Milliseconds()), wait+c.within)
 }
 
@@ -214,7 +260,7 @@
 	}
 	c.failing = false
 	c.counts.Lists.Add(1)
-	c.version = p.Version
+	c.held, c.version = true, p.Version
 	scope := choice.ListChanges
 	if p.Full {
 		scope = choice.ListFull
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -139,6 +139,50 @@
 	}
 }
 
+// A watch under way is dropped, not waited out; the other discovery fails at first, and counts versions otherwise.
+func TestAMoveDropsTheWatchAndAsksForTheWholeListElsewhere(t *testing.T) {
+	asked := make(chan string, 8)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		if len(asked) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		} else if r.URL.RawQuery == "" {
+			w.Write([]byte(strings.Replace(page, "41", "3", 1)))
+		} else {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(other.Close) // after the client's end
+	watched, dropped := make(chan struct{}), make(chan struct{})
+	c, lists := client(t, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.RawQuery, "timeout_ms=0") {
+			w.Write([]byte(`{"version":99,"full":false,"servers":[]}`))
+			return
+		}
+		close(watched)
+		<-r.Context().Done()
+		close(dropped)
+	})
+	c.Watch()
+	lists.next(t)
+	<-watched
+	c.Move("192.0.2.1:1") // the newest counts
+	c.Move(strings.TrimPrefix(other.URL, "http://"))
+	<-dropped
+	if l := lists.next(t); l.scope != choice.ListFailed {
+		t.Errorf("%+v", l)
+	}
+	c.Watch()
+	if l := lists.next(t); l.scope != choice.ListFull || len(l.listed) != 3 {
+		t.Errorf("%+v", l)
+	}
+	for _, want := range []string{"", "", "since=3&timeout_ms=60000"} {
+		if got := <-asked; got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+}
+
 func TestCallsThatFail(t *testing.T) {
 	for name, h := range map[string]http.HandlerFunc{
 		"refuses":     func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
