Quiet client connections make room; silent, half-spoken and flooding clients are let go

A trace of the module each second showed limits, strains, cold allowances and positions as they should be, so it refused nothing; descriptors stood flat at 191 from the first quarter on, which is the bound on clients plus what is else open. Ruled out: the module's members and marks, cold servers, discovery. At fault: Front.accept, which told every client beyond the bound 53300 while 1,266 connections that had asked once were kept for good; startupWithin, a minute for silent ones.

Now the connection that has been quiet for longest makes room, if it is owed nothing and was quiet for 2 s or never said a whole command. A client that has said nothing whole after 2.5 s, or leaves a command half said, is let go. The id of an open op is turned away, as are more than 16 commands at once, where the reader used to stop until there was room. An op waits no longer than its type's op timeout, whatever its comment says.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -20,12 +20,13 @@
 	"gorsewell/internal/pgwire"
 )
 
-// What the protocol's page fixes, and what PostgreSQL does by default.
+// What the protocol's pages fix.
 const (
-	lastCalls     = 500 * time.Millisecond // a planned stop is followed by 0.4 s of arrivals, and a margin
-	crossing      = 20 * time.Millisecond  // for which a connection to be closed is still looked at
-	startupWithin = time.Minute
-	turnedAway    = 16 // connections beyond the most, each of which is told so
+	lastCalls   = 500 * time.Millisecond  // a planned stop is followed by 0.4 s of arrivals, and a margin
+	crossing    = 20 * time.Millisecond   // for which a connection to be closed is still looked at
+	spokeWithin = 2500 * time.Millisecond // who has said nothing whole is owed an end 3 s after connecting
+	idleFor     = 2 * time.Second         // after which a connection that owes nothing may be closed
+	turnedAway  = 16                      // connections beyond the most, each of which is told so
 )
 
 // Front is where clients come in.
@@ -40,12 +41,13 @@
 	closing atomic.Bool // connections are closed between ops
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
+	ids     map[string]struct{} // of the ops that are open
 }
 
 // New makes a front for at most most connections.
 func New(clock exchange.Clock, desk exchange.Desk, counts *counters.Set, told *deployment.Told, most int) *Front {
 	f := &Front{clock: clock, desk: desk, counts: counts, told: told, opTypes: map[string]uint8{},
-		most: int64(most), conns: map[*conn]struct{}{}}
+		most: int64(most), conns: map[*conn]struct{}{}, ids: map[string]struct{}{}}
 	for i, name := range told.OpTypeNames {
 		f.opTypes[name] = uint8(i)
 	}
@@ -98,17 +100,61 @@
 			nc.Close()
 			continue
 		}
-		c := &conn{front: f, net: nc, queue: make(chan reply, queueSize)}
+		c := &conn{front: f, net: nc, queue: make(chan reply, queueSize+1)}
+		c.heard.Store(int64(f.clock.Now()))
+		full := open > f.most && !f.makeRoom()
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
 		f.mu.Unlock()
 		group.Go(func() error {
-			c.run(open > f.most)
+			c.run(full)
 			return nil
 		})
 	}
 }
 
+// makeRoom lets the connection go that has been quiet for longest, if there is one that is owed nothing and has
+// either been idle for long enough or never said anything whole: clients that keep a connection for good or connect and
+// say nothing must not keep out those who ask.
+func (f *Front) makeRoom() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var quietest *conn
+	since := int64(f.clock.Now())
+	for c := range f.conns {
+		heard := c.heard.Load()
+		idle := f.clock.Now()-time.Duration(heard) >= idleFor || !c.spoke.Load()
+		if idle && heard < since && c.owed.Load() == 0 && !c.leaving.Load() {
+			quietest, since = c, heard
+		}
+	}
+	if quietest == nil {
+		return false
+	}
+	f.counts.ClientIdleClosed.Add(1)
+	quietest.leaving.Store(true)
+	quietest.net.SetReadDeadline(exchange.Past)
+	return true
+}
+
+// opens takes note of an op that is open; false if another of its id is.
+func (f *Front) opens(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, taken := f.ids[id]; taken {
+		return false
+	}
+	f.ids[id] = struct{}{}
+	return true
+}
+
+// closed forgets an op.
+func (f *Front) closed(id string) {
+	f.mu.Lock()
+	delete(f.ids, id)
+	f.mu.Unlock()
+}
+
 // conn is one client's connection. Its reader owns the window and the list of ops, its answerer the writes.
 type conn struct {
 	front  *Front
@@ -117,6 +163,10 @@
 	queue  chan reply // in the order of the commands
 	open   []*exchange.Exchange
 	owed   atomic.Int32 // replies queued and not written
+
+	heard   atomic.Int64 // when the last bytes came or went, a span
+	spoke   atomic.Bool  // a whole command has come
+	leaving atomic.Bool  // it is to make room and has not been heard of since
 }
 
 // run serves the connection until either end closes it. What was taken is answered first, unless the client
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -14,6 +14,7 @@
 type reply struct {
 	bytes []byte
 	x     *exchange.Exchange
+	id    string // by which the client knows the op
 }
 
 func (c *conn) say(bytes []byte) { c.put(reply{bytes: bytes}) }
@@ -29,6 +30,7 @@
 	for r := range c.queue {
 		if r.x != nil {
 			<-r.x.Done
+			c.front.closed(r.id)
 			r.bytes = final(r.x)
 		}
 		// A client gets as long to take an answer as a server to take a connection, or all that is left of its time.
@@ -42,6 +44,7 @@
 				c.net.Close() // a value that is not whole must not look whole
 			}
 		}
+		c.heard.Store(int64(c.front.clock.Now()))
 		owed := c.owed.Add(-1)
 		invariant.Check(owed >= 0, "no more replies are written than are owed")
 		if owed == 0 && c.front.closing.Load() {
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -12,22 +12,22 @@
 	"gorsewell/internal/pgwire"
 )
 
-// queueSize is how many commands of one client may wait for their answers.
+// queueSize is how many commands of one client may wait for their answers; who sends more at once is let go.
 const queueSize = 16
 
 // Why a connection is read no longer.
 var (
 	errGone = errors.New("the client has gone")
 	errOver = errors.New("the connection is to be closed")
+	errMany = errors.New("too many commands at once")
 )
 
 // read takes what the client sends until it goes, or is to go.
 func (c *conn) read(full bool) error {
-	c.wait(time.Now().Add(startupWithin))
+	c.wait(time.Now().Add(spokeWithin))
 	if err := c.startup(full); err != nil {
 		return err
 	}
-	c.wait(time.Time{})
 	for {
 		m, err := c.next()
 		switch {
@@ -49,7 +49,7 @@
 	code := "08P01"
 	switch err {
 	case pgwire.ErrMalformed, pgwire.ErrVersion:
-	case pgwire.ErrTooLong:
+	case pgwire.ErrTooLong, errMany:
 		code = "54000"
 		c.front.counts.Unusable.Add(1)
 	default:
@@ -62,8 +62,11 @@
 
 // startup reads the packet with which a session begins and lets the client in.
 func (c *conn) startup(full bool) error {
-	for {
+	for declined := 0; ; {
 		o, n, err := pgwire.Startup(c.window.Bytes())
+		if declined > 2 { // a client asks for either kind of encryption once
+			err = pgwire.ErrMalformed
+		}
 		if err != nil {
 			return c.protest(err)
 		}
@@ -74,6 +77,7 @@
 				return err
 			}
 		case o == pgwire.OpensEncryption:
+			declined++
 			c.say([]byte{'N'}) // there is none: the client goes on in the clear
 		case o == pgwire.OpensCancel:
 			return errOver
@@ -90,25 +94,34 @@
 
 // next reads one message, which stays valid until the next call.
 func (c *conn) next() (pgwire.Message, error) {
-	for {
+	for limited := !c.spoke.Load(); ; {
 		m, ok, err := c.window.Next()
+		if ok && limited {
+			c.wait(time.Time{})
+		}
 		if ok || err != nil {
 			return m, err
 		}
+		if !limited && len(c.window.Bytes()) > 0 { // a message that has begun is to end
+			limited = true
+			c.wait(time.Now().Add(spokeWithin))
+		}
 		if err := c.fill(); err != nil {
 			return m, err
 		}
 	}
 }
 
-// fill reads more bytes. A read that ends in time is a sign that connections are being closed: then it gives up
-// where the client is owed nothing and no command of it is on its way.
+// fill reads more bytes. A read that ends in time is a sign that the connection is to be closed, as all are, or as it has
+// been quiet for too long: then it gives up where the client is owed nothing and no command of it is on its way.
 func (c *conn) fill() error {
 	for last := false; ; {
 		n, err := c.net.Read(c.window.Room())
 		c.window.Filled(n)
 		switch {
 		case n > 0:
+			c.heard.Store(int64(c.front.clock.Now()))
+			c.leaving.Store(false)
 			return nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return errGone
@@ -139,30 +152,40 @@
 	if err != nil {
 		return err
 	}
+	c.spoke.Store(true)
+	if c.owed.Load() >= queueSize {
+		return errMany
+	}
 	if trimmed := bytes.Trim(text, " ;\n\t"); len(trimmed) == 0 {
 		c.say(pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQuery)))
 		return nil
 	}
 	s, err := pgwire.Describe(bytes.Clone(text)) // it outlives the buffer: it may be sent again
 	kind, known := c.front.opTypes[string(s.OpType)]
-	if err != nil || !known {
-		c.front.counts.Unusable.Add(1)
-		code, what := "42601", "no usable comment"
-		if err == nil {
-			code, what = "22023", "unknown op type"
-		}
-		c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, what, "")))
-		return nil
+	switch {
+	case err != nil:
+		return c.unusable("42601", "no usable comment")
+	case !known:
+		return c.unusable("22023", "unknown op type")
+	case !c.front.opens(string(s.ID)):
+		return c.unusable("42710", "an op of this id is open")
 	}
 	now := c.front.clock.Now()
 	x := &exchange.Exchange{Statement: s, OpType: kind, Group: s.Group, Session: session(s.Key), Again: s.Again,
-		Due: now + s.Remaining, After: choice.LongPast, Done: make(chan struct{})}
+		Due: now + min(s.Remaining, c.front.told.OpTypes[kind].Timeout), After: choice.LongPast, Done: make(chan struct{})}
 	if at, ok := c.front.clock.FromUnix(s.After); ok {
 		x.After = at
 	}
 	c.open = append(slices.DeleteFunc(c.open, (*exchange.Exchange).Over), x)
 	c.front.desk.Take(x)
-	c.put(reply{x: x})
+	c.put(reply{x: x, id: string(s.ID)})
+	return nil
+}
+
+// unusable answers a command that can be read but is no op.
+func (c *conn) unusable(code, what string) error {
+	c.front.counts.Unusable.Add(1)
+	c.say(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, what, "")))
 	return nil
 }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -36,6 +36,7 @@
 	ServerConns, ServerReused         atomic.Int64 // connections opened, taken again
 	ServerBroken, ServerRefused       atomic.Int64 // that ended under a send, or while they were idle; that never came up
 	ClientConns, ClientRefused        atomic.Int64 // connections taken in, turned away
+	ClientIdleClosed                  atomic.Int64 // quiet ones closed to make room
 	ClientOpen, ServerOpen            atomic.Int64 // connections held now
 	Malformed                         atomic.Int64 // client connections ended for bytes that cannot be read
 	Unusable                          atomic.Int64 // queries without usable comment, of unknown op type, too long
