--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -130,7 +130,7 @@
 		{"a row without an end", append(described, "D\x00\x01\x00\x00\x00\x01\x00\x00\x00\x01v"...), true, choice.Reset},
 		{"a description without an end", []byte("T\x00\x00\x70\x00\x00\x01"), true, choice.Reset},
 		{"a line", []byte("HTTP/1.1"), true, choice.Reset},
-		{"notices without an end", bytes.Repeat(pgwire.AppendMessage(nil, pgwire.NoticeResponse, strings.Repeat("x", 8000)), 30), true, choice.Reset},
+		{"notices without an end", bytes.Repeat(pgwire.AppendMessage(nil, pgwire.NoticeResponse, strings.Repeat("x", 8000)), 50), true, choice.Reset},
 		{"silence", nil, true, choice.TimedOut},
 	} {
 		p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return c.answer, c.stays }})
