Call lost sends back; a silent connection is no silent server

Ruled out: load, strain, limits, cold starts, positions. At fault: silent(), which counted sends that were overtaken and did not count answered probes as life, so one lost send kept its server out until the op's time was over; and nothing ended a send before its op.

Now sends that were overtaken do not count as silence, an answered probe is a sign of life, and a send that has been out for twelve usual answer times is called back where its op may be sent again. A connection is closed before the end of its send is told, so that no two sends are out. It should also hold against lost answers, hung servers and links cut one way; it may harm where the rare op takes twelve times as long as usual, which then is worked on twice.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,12 +25,14 @@
 	startLimit   = 8      // sends owed by a server that nothing is known of
 	fullTurn     = 64     // a histogram is halved at this many entries
 	overdueAfter = 3      // usual answer times after which an answer is overdue; twice that in all is silence
+	lostAfter    = 12     // usual answer times, for each send of the op, after which one is called back
 	answered     = 2      // probes that bring a server back that was set aside
 	probeShare   = 0.25   // probes for each op that came in, beyond those that the design asks for
 	briefShare   = 16     // part of the shortest latency target that counts as a brief wait
 	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
 	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
-	rememberedAt = 4096   // session marks kept one by one; beyond that they fold into one floor
+	never        = time.Duration(math.MaxInt64)
+	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -50,8 +52,7 @@
 func (h *histogram) mean(unit time.Duration) time.Duration {
 	count, sum, middle := 0.0, 0.0, float64(unit)/32*0.75
 	for _, n := range h {
-		count, sum = count+float64(n), sum+float64(n)*middle
-		middle *= 2
+		count, sum, middle = count+float64(n), sum+float64(n)*middle, 2*middle
 	}
 	if count < fullTurn/8 {
 		return unit / 4
@@ -76,7 +77,7 @@
 	at                       *server       // where a send is out, or nil
 	sends                    int
 	sentAt, waitFrom         time.Duration // the newest send; the same or the end of this gateway's own pause
-	mark, maybeAt            time.Duration // the position to see; the first send that may have run, or LongPast
+	mark, maybeAt            time.Duration // the position to see; the first send that may have run, if any
 	held, missed, asked      bool          // a replica turned it away; one was probed for it
 	done                     bool
 }
@@ -99,7 +100,7 @@
 	pos, behind             time.Duration // the newest position told, it never goes back; how far behind it was
 	started, roleAt         time.Duration // roleAt: how new the newest evidence of the role is
 	owed                    []*op         // sends out, oldest first
-	heard, cutAt            time.Duration // its newest sign of life; when the limit last shrank
+	heard, proved, cutAt    time.Duration // newest sign of life; when what it answered was sent; limit last cut
 	limit                   float64       // sends that it may owe; below one, the chance that an op may be sent
 	allowedAt, nextProbe    time.Duration // nextProbe: never while one is out
 	needs                   int           // probes to be answered before it is used, at first or when set aside
@@ -133,9 +134,8 @@
 	coldTime, overloadTime           time.Duration
 	coldFrom, coldMultiple, gateways float64
 
-	sentWarm, warm              float64       // work sent to warm servers of late; to one, in a unit of time
+	sentWarm, warm, probing     float64       // work sent to warm servers of late; to one, per time; probes
 	home, spread                *[256]float64 // the strain on primaries and on replicas, by kind of machine
-	probing                     float64       // probes to be spent
 	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
 	crowdedTill, resetAt        time.Duration // connections are taken to be scarce; the last reset
 
@@ -180,8 +180,8 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	g.mind(now)
 	t := &g.types[kind]
-	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, mark: math.MaxInt64,
-		maybeAt: LongPast, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
+	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, mark: never,
+		maybeAt: never, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
 	if again {
 		o.targetAt = now + t.Target/holdShare
 	}
@@ -200,25 +200,14 @@
 
 // markOf is the position that a session's read must see.
 func (g *Gateway) markOf(now time.Duration, session uint64, wroteAgo time.Duration) time.Duration {
-	if g.carried && wroteAgo <= 0 {
-		return LongPast
-	} else if g.carried {
-		return now - wroteAgo + wroteAgo>>20 // the age is a float: keep its rounding on the safe side
-	}
 	if m, ok := g.marks[session]; ok {
 		return m
+	} else if !g.carried {
+		return g.floor
+	} else if wroteAgo <= 0 {
+		return LongPast
 	}
-	return g.floor
-}
-
-// remember keeps the commit position of a session's write. When there are too many, all fold into one
-// floor for every session, so memory is bounded and no read sees less than it must.
-func (g *Gateway) remember(now time.Duration, session uint64, pos time.Duration) {
-	if len(g.marks) >= rememberedAt {
-		g.floor = now
-		clear(g.marks)
-	}
-	g.marks[session] = max(pos, g.markOf(0, session, 0))
+	return now - wroteAgo + wroteAgo>>20 // the age is a float: keep its rounding on the safe side
 }
 
 // Answer is called once for each send, when it has ended.
@@ -234,12 +223,16 @@
 	}
 	s, o.at = o.at, nil
 	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
-	if result == Acked && o.t.Need == Write && pos != LongPast {
-		g.remember(now, o.session, pos)
+	if result == Acked && o.t.Need == Write && pos != LongPast && !g.carried {
+		if len(g.marks) >= rememberedAt { // all fold into one floor: memory is bounded, no read sees too little
+			g.floor = now
+			clear(g.marks)
+		}
+		g.marks[o.session] = max(pos, g.markOf(0, o.session, 0))
 	}
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
-	if !neverRan && o.maybeAt == LongPast {
-		o.maybeAt = o.sentAt
+	if neverRan && o.maybeAt == o.sentAt {
+		o.maybeAt = never
 	}
 	s.group.owed--
 	if !neverRan && g.ramp(now-g.overloadTime, s) >= 1 {
@@ -255,8 +248,7 @@
 	g.wake(now, s.group)
 }
 
-// mind notices that the gateway itself has stood still: timers come every tick. What it then finds at once
-// says nothing of the servers, so their waits begin anew.
+// mind notices by the timers that the gateway itself stood still: it is no servers' fault, waits begin anew.
 func (g *Gateway) mind(now time.Duration) {
 	if now-g.timedAt > pause*g.tick && now > g.pausedAt {
 		g.pausedAt = now
@@ -286,7 +278,7 @@
 
 // giveUp ends an op at once. Rule 2: the busy reply, which invites another try, only where that is harmless.
 func (g *Gateway) giveUp(o *op) {
-	if t := o.t; o.maybeAt == LongPast || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
+	if t := o.t; o.maybeAt == never || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
 		g.host.BusyReply(o.id, min(t.Target, g.comeBack))
 	} else {
 		g.host.Error(o.id)
@@ -307,9 +299,7 @@
 func (g *Gateway) place(now time.Duration, o *op) {
 	if now >= g.lastUseful(o) || !g.maySend(now, o) {
 		g.giveUp(o)
-		return
-	}
-	if s := g.choose(now, o); s != nil && g.send(now, o, s) {
+	} else if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
 	} else if !o.held {
 		o.held, o.worth = true, o.t.Value/float64(o.t.usual())
@@ -339,10 +329,8 @@
 		return g.scout(now, o)
 	case o.t.Need == Write || o.t.Need == Fresh:
 		return g.room(now, home, o)
-	}
-	// A read that runs for longer than a bound may keep its replica from applying the log for as long: such
-	// reads share the replica that is furthest behind, so that the others stay fresh.
-	if o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil {
+	// A read that outlasts a bound may hold up the log: such reads share the replica that is furthest behind.
+	case o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil:
 		return g.room(now, g.furthest(now, o, -1), o)
 	}
 	if s = g.rotate(now, o, o.want(now)); s == nil && g.checked && !o.missed {
@@ -362,15 +350,14 @@
 		return
 	}
 	if s := g.rotate(now, o, LongPast); s != nil && s.nextProbe <= now {
-		o.asked, s.nextProbe = true, math.MaxInt64
+		o.asked, s.nextProbe = true, never
 		g.host.Probe(s.id)
 	}
 }
 
 func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
 
-// strain is how late all primaries, or all replicas, of a kind of machine have been: with many gateways one
-// server answers too seldom to tell how it fares.
+// strain is how late primaries, or replicas, of a kind of machine are: one may answer too seldom to tell.
 func (g *Gateway) strain(s *server) *float64 {
 	if s == s.group.primary {
 		return &g.home[s.kind]
@@ -408,8 +395,7 @@
 			best, total, overdue = nil, 0, false
 		}
 		w := s.weight * g.ramp(now, s)
-		s.credit += w
-		total += w
+		s.credit, total = s.credit+w, total+w
 		if best == nil || s.credit > best.credit {
 			best = s
 		}
@@ -445,7 +431,7 @@
 
 // maySend is rule 2. A zone that drops repeats does not help: members of a group may stand in several.
 func (g *Gateway) maySend(now time.Duration, o *op) bool {
-	if o.sends >= g.maxSends || o.maybeAt == LongPast || o.t.Effect == Retryable {
+	if o.sends >= g.maxSends || o.maybeAt == never || o.t.Effect == Retryable {
 		return o.sends < g.maxSends
 	}
 	return o.t.Effect == Tokened && o.t.Scope != ScopeZone && now-o.maybeAt < o.t.Window-2*g.tick
@@ -460,7 +446,7 @@
 		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
-	o.at, o.sentAt, o.waitFrom = s, now, now
+	o.at, o.sentAt, o.waitFrom, o.maybeAt = s, now, now, min(o.maybeAt, now)
 	o.sends++
 	s.group.owed++
 	s.owed = append(s.owed, o)
@@ -502,8 +488,7 @@
 
 // told takes in role and position; at dates the evidence, or a primary's position, as that is the present.
 func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
-	s.pos = max(s.pos, pos)
-	s.behind = now - s.pos
+	s.pos, s.behind = max(s.pos, pos), now-max(s.pos, pos)
 	gr := s.group
 	if role == Replica {
 		gr.heard = at
@@ -538,12 +523,11 @@
 	home, slow := s == s.group.primary, took > o.t.Target/fullShare
 	switch result {
 	case Acked, Miss, ServerFull, ServerError:
-		s.heard = now
+		s.heard, s.proved = now, max(s.proved, o.sentAt)
 	case Reset: // a bad way or a dead process, no lack of connections
 		g.resetAt, g.crowdedTill = now, LongPast
 	case NoConnection:
-		// Turned away at once, with no reset of late: servers take no more connections, so for a while this
-		// gateway leaves none open that it does not use, as the others wait for them.
+		// Turned away at once, with no reset of late: connections are scarce, so none is left open unused.
 		if took < g.brief && now-g.resetAt > scarce*g.brief {
 			g.crowdedTill = now + scarce*g.brief
 		}
@@ -611,16 +595,31 @@
 	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
 }
 
-// silent tells whether a server that owes answers has been quiet for longer than chance explains.
+// silent tells whether a server that owes answers has been quiet for longer than chance explains. Where it
+// answered what was sent later, a connection is silent and not the server.
 func (s *server) silent(now time.Duration) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
-		wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
-		sum, longest = sum+wait, max(longest, wait)
+		if o.sentAt >= s.proved {
+			wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
+			sum, longest = sum+wait, max(longest, wait)
+		}
 	}
 	return sum > 2*overdueAfter && longest > overdueAfter
 }
 
+// callBack ends sends that are out for so long that their answers must be lost: a connection may fall silent as
+// its server answers others. It does so only where the op may be sent again and can still earn something.
+func (g *Gateway) callBack(now time.Duration, s *server) {
+	for _, o := range s.owed {
+		lost := time.Duration(lostAfter*o.sends) * o.t.usual()
+		if g.cancels && !o.done && now-o.waitFrom > lost && now < g.lastUseful(o) && g.maySend(now, o) {
+			o.waitFrom = now
+			g.host.Cancel(o.id, uint8(o.sends-1))
+		}
+	}
+}
+
 // ProbeAnswer is called once for each probe.
 func (g *Gateway) ProbeAnswer(now time.Duration, id uint32, result Result, took time.Duration) {
 	s := g.servers[id]
@@ -630,8 +629,8 @@
 	defer g.wake(now, s.group)
 	if result == NoConnection || result == Reset || result == TimedOut {
 		g.doubt(now, s, false)
-	} else if s.needs > 0 { // an error is an answer too: probes may fail at servers that serve
-		s.needs--
+	} else { // an error is an answer too: probes may fail at servers that serve
+		s.needs, s.heard, s.proved = max(0, s.needs-1), now, max(s.proved, now-took)
 	}
 	s.nextProbe = now + max(s.wait, g.brief)
 }
@@ -660,7 +659,7 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		s = &server{id: l.ID, group: g.group(l.Group), started: l.Started - 1, pos: LongPast, roleAt: LongPast,
-			heard: LongPast, allowedAt: LongPast, credit: g.chance() * (1/g.gateways - 1)} // a start of its own
+			heard: LongPast, proved: LongPast, allowedAt: LongPast, credit: g.chance() * (1/g.gateways - 1)}
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -719,10 +718,11 @@
 			if s.silent(now) {
 				g.doubt(now, s, true)
 			}
+			g.callBack(now, s)
 			// Probes are rationed by the ops that came in: with many gateways they would cost more than the ops.
 			if g.probes && s.state == Ready && now >= s.nextProbe && (g.steady || s.needs > 0 && g.probing >= 1) {
 				g.probing--
-				s.nextProbe = math.MaxInt64
+				s.nextProbe = never
 				g.host.Probe(s.id)
 			}
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -245,7 +246,8 @@
 	g.Op(60*ms, 3, session, 8, 2*time.Second, 0, 0, false)
 	want(t, h, "send 1 to 1", "send 3 to 2")
 	for id := uint64(100); id < 100+rememberedAt; id++ {
-		g.remember(70*ms, id, 46*ms)
+		g.Op(70*ms, uint32(id), writeOnce, id, 2*time.Second, 0, 0, false)
+		g.Answer(70*ms, uint32(id), 0, 1, Acked, ms, true, Primary, 46*ms)
 	}
 	if m := g.markOf(0, 9, 0); m < 45*ms {
 		t.Errorf("a dropped mark leaves %v, want no less than the commit", m)
@@ -261,6 +263,61 @@
 	want(t, h, "watch")
 }
 
+// Guards against connections that fall silent while their server goes on: half the primaries were set aside for single
+// writes, and those held up the others until their time was over (capitol-assessor, rate+silent+leave on sockets).
+func TestAnOvertakenSendIsNoSilence(t *testing.T) {
+	g, h := start(nil)
+	do(g, 0, 1, writeOnce)
+	do(g, 10*ms, 2, writeOnce)
+	g.Answer(30*ms, 2, 0, 1, Acked, 20*ms, true, Primary, 20*ms)
+	want(t, h, "send 1 to 1", "send 2 to 1")
+	for now := 35 * ms; now < 1900*ms; now += 5 * ms {
+		g.Timer(now, 0)
+	}
+	want(t, h)
+	do(g, 1900*ms, 3, writeOnce)
+	want(t, h, "send 3 to 1")
+}
+
+func TestALostSendIsCalledBackOnceAndSentAgain(t *testing.T) {
+	g, h := start(nil)
+	g.types[anyRead].took = histogram{fullTurn / 4} // 9.375 ms
+	g.types[writeOnce].took = g.types[anyRead].took
+	do(g, 0, 1, writeOnce) // no other may repeat it
+	do(g, 0, 2, anyRead)
+	do(g, 10*ms, 3, anyRead)
+	at := uint32(h.lines[1][len(h.lines[1])-1] - '0')
+	g.Answer(20*ms, 3, 0, 5-at, Acked, 10*ms, true, Replica, 15*ms)
+	h.lines = nil
+	g.servers[1].proved, g.servers[at].proved = 15*ms, 15*ms
+	for now := 25 * ms; now < 130*ms; now += 5 * ms {
+		g.Timer(now, 0)
+	}
+	want(t, h, "cancel 2.0")
+	g.Answer(130*ms, 2, 0, at, Cancelled, 130*ms, false, RoleUnknown, LongPast)
+	if len(h.lines) != 1 || !strings.HasPrefix(h.lines[0], "send 2 to ") {
+		t.Errorf("got %q, want it sent again", h.lines)
+	}
+}
+
+func TestAnAnsweredProbeIsASignOfLife(t *testing.T) {
+	g, h := start(nil)
+	do(g, 0, 1, writeOnce)
+	for now := 5 * ms; now <= 700*ms; now += 5 * ms {
+		g.Timer(now, 0)
+	}
+	want(t, h, "send 1 to 1", "probe 1")
+	g.ProbeAnswer(705*ms, 1, Acked, 2*ms)
+	g.servers[1].nextProbe = 0
+	g.Timer(710*ms, 0)
+	g.ProbeAnswer(715*ms, 1, Acked, 2*ms)
+	want(t, h, "probe 1")
+	for now := 720 * ms; now <= 1900*ms; now += 5 * ms { // what is still out from before is lost, the server is not
+		g.Timer(now, 0)
+	}
+	want(t, h)
+}
+
 func TestUselessReadIsBusyRepliedBeforeItsTarget(t *testing.T) {
 	g, h := start(func(d *Deployment) { d.OpTypes[fresh].LateValue = 0 })
 	g.servers[1].limit = 0
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -54,6 +54,8 @@
 		e, whole := c.serve(j)
 		if whole {
 			c.free() // before the result is told, as that may bring the next job
+		} else {
+			nc.Close() // before it, as the op may be sent again, and two sends must never be out
 		}
 		p.end(j, e)
 		if !whole {
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -200,6 +201,39 @@
 	}
 }
 
+// The op may be sent again as soon as the end is told, and two sends must never be out.
+func TestASpoiltConnectionIsClosedBeforeItsSendsEndIsTold(t *testing.T) {
+	closed := make(chan error, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			defer c.Close()
+			c.Write(append(pgwire.AppendWelcome(nil), "noise"...))
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			_, err = io.Copy(io.Discard, c)
+		}
+		closed <- err
+	}()
+	p, e := pool(t, 8, &standin.Database{})
+	p.Locate(map[uint32]string{server: l.Addr().String()})
+	p.events = chain{ends: e, next: func() {
+		select {
+		case <-closed:
+		case <-time.After(time.Second):
+			t.Error("the connection is open when the end is told")
+		}
+	}}
+	p.Send(op(t), 0, server, p.soon())
+	if r := e.next(t); r.Result != choice.Reset {
+		t.Errorf("%+v", r)
+	}
+}
+
 func TestConnectionsThatDoNotComeUp(t *testing.T) {
 	refused, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
