--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -91,7 +91,7 @@
 		case err != nil || m.Type == pgwire.ErrorResponse:
 			return false
 		case m.Type == pgwire.ReadyForQuery:
-			return true
+			return len(c.window.Bytes()) == 0 // what follows belongs to nothing
 		case m.Type == pgwire.Authentication && string(m.Body) != "\x00\x00\x00\x00":
 			return false
 		}
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -213,8 +213,10 @@
 		c, err := l.Accept()
 		if err == nil {
 			defer c.Close()
-			c.Write(append(pgwire.AppendWelcome(nil), "noise"...))
 			c.SetDeadline(time.Now().Add(5 * time.Second))
+			c.Write(pgwire.AppendWelcome(nil))
+			io.ReadFull(c, make([]byte, len(pgwire.AppendStartup(nil, user, database))+1))
+			c.Write([]byte("noise"))
 			_, err = io.Copy(io.Discard, c)
 		}
 		closed <- err
@@ -234,6 +236,14 @@
 	}
 }
 
+func TestSurplusBehindAWelcomeIsNoConnection(t *testing.T) {
+	p, e := pool(t, 8, &standin.Database{Welcome: append(pgwire.AppendWelcome(nil), standin.Row("v", "replica", 1)...)})
+	p.Send(op(t), 0, server, p.soon())
+	if r := e.next(t); r.Result != choice.NoConnection || p.counts.Sent.Load() != 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
 func TestConnectionsThatDoNotComeUp(t *testing.T) {
 	refused, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
