A cold server may be sent a multiple of what it has itself acked of late

The trace shows the new primaries owing nothing, their allowance below zero, and 40 to 80 ops held. At fault: coldTakes. Ruled out: limits, strain, positions, the switch itself, which was followed within 0.1 s.

Now the allowance accrues by that or by what the cold server has acked of late, whichever is more, times the same cautious part of the stated multiple: what it has done it can do, so all gateways together stay below the multiple.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,18 +68,17 @@
 func (t *opType) usual() time.Duration { return t.took.mean(t.Target) }
 
 type op struct {
-	id                       uint32
-	t                        *opType
-	group                    *group
-	session                  uint64
-	luck, worth              float64       // whether it falls into a share; its value for a unit of time
-	targetAt, holdUntil, due time.Duration // its client's latency target; held for a replica; its client leaves
-	at                       *server       // where a send is out, or nil
-	sends                    int
-	sentAt, waitFrom         time.Duration // the newest send; the same or the end of this gateway's own pause
-	mark, maybeAt            time.Duration // the position to see; the first send that may have run, if any
-	held, missed, asked      bool          // a replica turned it away; one was probed for it
-	done                     bool
+	id                        uint32
+	t                         *opType
+	group                     *group
+	session                   uint64
+	luck, worth               float64       // whether it falls into a share; its value for a unit of time
+	targetAt, holdUntil, due  time.Duration // its client's latency target; held for a replica; its client leaves
+	at                        *server       // where a send is out, or nil
+	sends                     int
+	sentAt, waitFrom          time.Duration // the newest send; the same or the end of this gateway's own pause
+	mark, maybeAt             time.Duration // the position to see; the first send that may have run, if any
+	held, missed, asked, done bool          // missed: a replica turned it away; asked: one was probed for it
 }
 
 // want is the position that a replica must have reached.
@@ -91,20 +90,21 @@
 }
 
 type server struct {
-	id                      uint32
-	group                   *group
-	state                   State
-	kind                    uint8 // of machine, as listed
-	role                    Role
-	weight, credit, allowed float64       // in the rotation; work that a cold one may be sent, below 0: had more
-	pos, behind             time.Duration // the newest position told, it never goes back; how far behind it was
-	started, roleAt         time.Duration // roleAt: how new the newest evidence of the role is
-	owed                    []*op         // sends out, oldest first
-	heard, proved, cutAt    time.Duration // newest sign of life; when what it answered was sent; limit last cut
-	limit                   float64       // sends that it may owe; below one, the chance that an op may be sent
-	allowedAt, nextProbe    time.Duration // nextProbe: never while one is out
-	needs                   int           // probes to be answered before it is used, at first or when set aside
-	wait, shunnedTill       time.Duration // for which it was last passed over, 0 once it has acked; until when
+	id                   uint32
+	group                *group
+	state                State
+	kind                 uint8 // of machine, as listed
+	role                 Role
+	weight, credit       float64       // in the rotation
+	allowed, acked       float64       // work that a cold one may be sent, below 0: had more; has acked of late
+	pos, behind          time.Duration // the newest position told, it never goes back; how far behind it was
+	started, roleAt      time.Duration // roleAt: how new the newest evidence of the role is
+	owed                 []*op         // sends out, oldest first
+	heard, proved, cutAt time.Duration // newest sign of life; when what it answered was sent; limit last cut
+	limit                float64       // sends that it may owe; below one, the chance that an op may be sent
+	allowedAt, nextProbe time.Duration // nextProbe: never while one is out
+	needs                int           // probes to be answered before it is used, at first or when set aside
+	wait, shunnedTill    time.Duration // for which it was last passed over, 0 once it has acked; until when
 }
 
 type group struct {
@@ -124,15 +124,14 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief                      time.Duration // between looks at the clock; the design's brief wait
-	checked, carried, steady         bool          // replicas check reads; reads tell marks; only probes do
-	probes, cancels, asks            bool          // allowed; allowed; for positions
-	goneMayRun                       bool          // the list's word 'gone' proves nothing
-	maxSends, firstNeeds             int           // sends for an op; probes before first use
-	tightest, comeBack               time.Duration // bound; longest wait that a client honours, or 0
-	askAt, askWait                   time.Duration // when to ask for the list again, 0: not; between askings
-	coldTime, overloadTime           time.Duration
-	coldFrom, coldMultiple, gateways float64
+	tick, brief                       time.Duration // between looks at the clock; the design's brief wait
+	checked, carried, steady          bool          // replicas check reads; reads tell marks; only probes do
+	probes, cancels, asks, goneMayRun bool          // allowed; allowed; for positions; 'gone' proves nothing
+	maxSends, firstNeeds              int           // sends for an op; probes before first use
+	tightest, comeBack                time.Duration // bound; longest wait that a client honours, or 0
+	askAt, askWait                    time.Duration // when to ask for the list again, 0: not; between askings
+	coldTime, overloadTime            time.Duration
+	coldFrom, coldMultiple, gateways  float64
 
 	sentWarm, warm, probing     float64       // work sent to warm servers of late; to one, per time; probes
 	home, spread                *[256]float64 // the strain on primaries and on replicas, by kind of machine
@@ -152,7 +151,8 @@
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.ReportsPosition && !d.TellsPosition,
 		goneMayRun: d.OnlyDrainingBinds, maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
-		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
+		firstNeeds: map[bool]int{true: 1}[d.Probes],
+		coldFrom:   d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
 		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast, floor: LongPast,
 		home: new([256]float64), spread: new([256]float64), marks: map[uint64]time.Duration{},
@@ -164,9 +164,6 @@
 			g.tightest = min(g.tightest, t.Bound)
 		}
 	}
-	if d.Probes {
-		g.firstNeeds = 1
-	}
 	if d.ListAsked {
 		g.askAt, g.askWait = d.AskWithin/4, d.AskWithin/4
 		h.WatchList()
@@ -460,18 +457,19 @@
 }
 
 // coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its worst-case
-// capacity, taken from what warm servers take from this gateway on average. The allowance starts below zero
-// by chance, so that many gateways that each send little do not all begin with one send.
+// capacity, taken from what warm servers take from this gateway on average, or of what it has itself acked of
+// late. The allowance starts below zero by chance, so that many gateways do not all begin with one send.
 func (g *Gateway) coldTakes(now time.Duration, o *op, s *server) bool {
 	work, r := float64(o.t.usual()), g.ramp(now-g.overloadTime, s)
 	if r >= 1 {
 		return true
 	} else if s.allowedAt < s.started {
-		s.allowed, s.allowedAt = -g.chance()*work, max(s.started, 0)
+		s.allowed, s.acked, s.allowedAt = -g.chance()*work, 0, max(s.started, 0)
 	}
-	rate := g.warm * r * g.coldMultiple * coldCaution
-	s.allowed = min(s.allowed+rate*float64(now-s.allowedAt), rate*float64(g.overloadTime/unspent))
-	s.allowedAt = now
+	since, over := float64(now-s.allowedAt), float64(g.overloadTime)
+	s.acked *= math.Exp(-since / over)
+	rate := max(g.warm*r, s.acked/over) * g.coldMultiple * coldCaution
+	s.allowed, s.allowedAt = min(s.allowed+rate*since, rate*over/unspent), now
 	if s.allowed >= 0 {
 		s.allowed -= work
 		return true
@@ -489,9 +487,8 @@
 // told takes in role and position; at dates the evidence, or a primary's position, as that is the present.
 func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
 	s.pos, s.behind = max(s.pos, pos), now-max(s.pos, pos)
-	gr := s.group
 	if role == Replica {
-		gr.heard = at
+		s.group.heard = at
 	} else if role == Primary && pos != LongPast {
 		at = pos
 	}
@@ -499,11 +496,11 @@
 		return
 	}
 	s.role, s.roleAt = role, at
-	if role == Primary && gr.primary != s && (gr.primary == nil || at >= gr.primary.roleAt) {
-		gr.primary = s
+	if p := s.group.primary; role == Primary && p != s && (p == nil || at >= p.roleAt) {
+		s.group.primary = s
 		g.host.Log("primary found")
-	} else if role == Replica && gr.primary == s {
-		gr.primary = nil
+	} else if role == Replica && p == s {
+		s.group.primary = nil
 	}
 }
 
@@ -546,6 +543,7 @@
 	}
 	if result == Acked {
 		o.t.took.add(took, o.t.Target)
+		s.acked += float64(o.t.usual())
 		if slow && now-s.cutAt > took {
 			s.limit, s.cutAt = max(s.limit*cut, min(s.limit, 1)), now
 		} else if !slow && s.limit >= 1 {
@@ -608,7 +606,7 @@
 	return sum > 2*overdueAfter && longest > overdueAfter
 }
 
-// callBack ends sends that are out for so long that their answers must be lost: a connection may fall silent as
+// callBack ends sends that are out for so long that their answers must be lost: a connection may be silent as
 // its server answers others. It does so only where the op may be sent again and can still earn something.
 func (g *Gateway) callBack(now time.Duration, s *server) {
 	for _, o := range s.owed {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -160,6 +160,29 @@
 	}
 }
 
+// Guards against a restarted primary that is held back by what its calm replicas take (capitol-assessor, wide on
+// sockets): it may be sent a multiple of what it acks itself.
+func TestColdServerMayBeSentAMultipleOfWhatItAcks(t *testing.T) {
+	const now0 = 10 * time.Second
+	sent := func(acks bool) (n int) {
+		g, _ := start(func(d *Deployment) { d.OverloadFactor = 4 })
+		g.warm = 0.2
+		s, o := g.servers[1], &op{t: &g.types[anyRead]}
+		s.started = now0
+		for now := now0; now < now0+5*time.Second; now += 10 * ms {
+			for g.coldTakes(now, o, s) {
+				if n++; acks {
+					g.judge(now, s, o, Acked, 100*ms)
+				}
+			}
+		}
+		return n
+	}
+	if without, with := sent(false), sent(true); without < 1 || with < 3*without {
+		t.Errorf("%d sends without an ack, %d with all acked", without, with)
+	}
+}
+
 // Guards against a server that turns all away or fails quickly and draws every op (sofia-games i5bf989): at the second
 // such answer in a row it is set aside, but no primary for errors, and probes bring it back.
 func TestFailingServerIsSetAsideUntilProbed(t *testing.T) {
