Forget servers that are gone, everywhere; ask for a failed list again after a brief wait

Now the module forgets a server once it is gone and nothing of it is out, and tells its host, which drops address, connections and number. Lists and addresses reach pool and module under one mutex, so a server that is listed again cannot lose its address. Where 'gone' proves nothing, a server is kept until it has been in doubt for as long as that grows. An op of an unknown group is given up at once. Askings for the list begin after a brief wait and double.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,8 @@
 package choice
 
-// A Gateway decides for one gateway. Whoever speaks a protocol (the bench's adapter, later the service's own
-// listener) makes one with New and calls one method for each thing that happens: List, Op, Answer, Report,
-// ProbeAnswer, ClientGone, Timer, each with the span since the start. Inside them the Gateway acts by calling
-// its Host. That interface and the plain types handed over at start are in host.go.
+// A Gateway decides for one gateway. Its host makes one with New and calls one method for each thing that
+// happens: List, Op, Answer, Report, ProbeAnswer, ClientGone, Timer, each with the span since the start.
+// Inside them it acts by calling the Host. That interface and the types handed over at start are in host.go.
 
 import (
 	"cmp"
@@ -29,6 +28,7 @@
 	answered     = 2      // probes that bring a server back that was set aside
 	probeShare   = 0.25   // probes for each op that came in, beyond those that the design asks for
 	briefShare   = 16     // part of the shortest latency target that counts as a brief wait
+	longest      = 32     // brief waits for which a server is passed over at most
 	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
 	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
 	never        = time.Duration(math.MaxInt64)
@@ -104,6 +104,7 @@
 	limit                float64       // sends that it may owe; below one, the chance that an op may be sent
 	allowedAt, nextProbe time.Duration // nextProbe: never while one is out
 	needs                int           // probes to be answered before it is used, at first or when set aside
+	unlisted             bool          // the list no longer names it, where that proves nothing
 	wait, shunnedTill    time.Duration // for which it was last passed over, 0 once it has acked; until when
 }
 
@@ -124,12 +125,11 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief                       time.Duration // between looks at the clock; the design's brief wait
+	tick, brief, tightest, comeBack   time.Duration // between looks; brief wait; bound; wait that clients honour
 	checked, carried, steady          bool          // replicas check reads; reads tell marks; only probes do
 	probes, cancels, asks, goneMayRun bool          // allowed; allowed; for positions; 'gone' proves nothing
 	maxSends, firstNeeds              int           // sends for an op; probes before first use
-	tightest, comeBack                time.Duration // bound; longest wait that a client honours, or 0
-	askAt, askWait                    time.Duration // when to ask for the list again, 0: not; between askings
+	askAt, askWait, askMost           time.Duration // for the list again, 0: not; the next wait; the longest
 	coldTime, overloadTime            time.Duration
 	coldFrom, coldMultiple, gateways  float64
 
@@ -150,11 +150,11 @@
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.ReportsPosition && !d.TellsPosition,
-		goneMayRun: d.OnlyDrainingBinds, maxSends: max(1, d.MaxSends), comeBack: d.MaxComeBack,
-		firstNeeds: map[bool]int{true: 1}[d.Probes],
-		coldFrom:   d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
-		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)), seed: d.Seed,
-		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast, floor: LongPast,
+		goneMayRun: d.OnlyDrainingBinds, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
+		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
+		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
+		gateways: max(1, float64(d.Gateways)), seed: d.Seed, floor: LongPast,
+		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast,
 		home: new([256]float64), spread: new([256]float64), marks: map[uint64]time.Duration{},
 	}
 	for _, t := range d.OpTypes {
@@ -164,8 +164,7 @@
 			g.tightest = min(g.tightest, t.Bound)
 		}
 	}
-	if d.ListAsked {
-		g.askAt, g.askWait = d.AskWithin/4, d.AskWithin/4
+	if g.askWait = g.brief; d.ListAsked {
 		h.WatchList()
 	}
 	h.Timer(0, g.tick)
@@ -177,8 +176,8 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	g.mind(now)
 	t := &g.types[kind]
-	o := &op{id: id, t: t, luck: g.chance(), group: g.group(inGroup), session: session, mark: never,
-		maybeAt: never, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
+	o := &op{id: id, t: t, group: cmp.Or(g.groups[inGroup], &group{}), session: session, luck: g.chance(),
+		mark: never, maybeAt: never, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
 	if again {
 		o.targetAt = now + t.Target/holdShare
 	}
@@ -294,7 +293,7 @@
 
 // place sends an op where the design wants it, holds it, or gives it up.
 func (g *Gateway) place(now time.Duration, o *op) {
-	if now >= g.lastUseful(o) || !g.maySend(now, o) {
+	if now >= g.lastUseful(o) || !g.maySend(now, o) || len(o.group.members) == 0 {
 		g.giveUp(o)
 	} else if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
@@ -379,8 +378,7 @@
 	return s.pos
 }
 
-// rotate takes the next replica in turn whose position reaches want, passing over those with overdue
-// answers while there are others. A cold one gets turns as its ramp allows.
+// rotate takes the next replica in turn that reaches want, passing over those overdue while there are others.
 func (g *Gateway) rotate(now time.Duration, o *op, want time.Duration) (best *server) {
 	total, overdue := 0.0, true
 	for _, s := range o.group.members {
@@ -506,12 +504,10 @@
 
 // Report is called before the answer that brought the report; its position is the time that it speaks of.
 func (g *Gateway) Report(now time.Duration, id uint32, role Role, pos time.Duration) {
-	at := pos
-	if pos == LongPast {
-		at = now
-	}
-	if s := g.servers[id]; s != nil {
-		g.told(now, s, role, pos, at)
+	if s := g.servers[id]; s != nil && pos == LongPast {
+		g.told(now, s, role, pos, now)
+	} else if s != nil {
+		g.told(now, s, role, pos, pos)
 	}
 }
 
@@ -572,7 +568,7 @@
 		return
 	}
 	sure = sure || s.wait > 0 && s != s.group.primary
-	s.wait = min(max(2*s.wait, g.brief/4), 32*g.brief)
+	s.wait = min(max(2*s.wait, g.brief/4), longest*g.brief)
 	s.shunnedTill = now + s.wait
 	aside := 1
 	for _, m := range s.group.members {
@@ -636,10 +632,10 @@
 // List is called with the server list as the host last held it, in full, or with changes to it.
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
 	if scope == ListFailed {
-		g.askAt = now + g.askWait
+		g.askAt, g.askWait = now+g.askWait, min(2*g.askWait, g.askMost)
 		return
 	} else if scope != ListCached {
-		g.askAt = 0
+		g.askAt, g.askWait = 0, g.brief
 	}
 	for _, gr := range g.listed {
 		for _, s := range gr.members {
@@ -656,13 +652,17 @@
 func (g *Gateway) line(now time.Duration, l *Listed) {
 	s := g.servers[l.ID]
 	if s == nil {
-		s = &server{id: l.ID, group: g.group(l.Group), started: l.Started - 1, pos: LongPast, roleAt: LongPast,
+		if g.groups[l.Group] == nil {
+			g.groups[l.Group] = &group{}
+			g.listed = append(g.listed, g.groups[l.Group])
+		}
+		s = &server{id: l.ID, group: g.groups[l.Group], started: l.Started - 1, pos: LongPast, roleAt: LongPast,
 			heard: LongPast, proved: LongPast, allowedAt: LongPast, credit: g.chance() * (1/g.gateways - 1)}
 		g.servers[l.ID] = s
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
-	if l.State == Gone && g.goneMayRun && s.state == Ready {
+	if s.unlisted = l.State == Gone && g.goneMayRun && s.state == Ready; s.unlisted {
 		g.doubt(now, s, true)
 		return
 	}
@@ -681,12 +681,14 @@
 	}
 }
 
-func (g *Gateway) group(id uint16) *group {
-	if g.groups[id] == nil {
-		g.groups[id] = &group{}
-		g.listed = append(g.listed, g.groups[id])
+// forgets drops a server that is gone, or for long in doubt where that proves nothing, once nothing is out.
+func (g *Gateway) forgets(s *server) bool {
+	gone := s.state == Gone || s.unlisted && s != s.group.primary && s.wait >= longest*g.brief
+	if gone = gone && len(s.owed) == 0 && s.nextProbe < never; gone {
+		delete(g.servers, s.id)
+		g.host.Forget(s.id)
 	}
-	return g.groups[id]
+	return gone
 }
 
 // Timer is called when a timer that the gateway set has come due.
@@ -694,7 +696,7 @@
 	g.mind(now)
 	g.host.Timer(0, now+g.tick)
 	if g.askAt > 0 && now >= g.askAt {
-		g.askAt = now + g.askWait
+		g.askAt = 0
 		g.host.WatchList()
 	}
 	g.probing = min(g.probing, float64(fullTurn/4+len(g.servers)))
@@ -717,13 +719,13 @@
 				g.doubt(now, s, true)
 			}
 			g.callBack(now, s)
-			// Probes are rationed by the ops that came in: with many gateways they would cost more than the ops.
 			if g.probes && s.state == Ready && now >= s.nextProbe && (g.steady || s.needs > 0 && g.probing >= 1) {
 				g.probing--
 				s.nextProbe = never
 				g.host.Probe(s.id)
 			}
 		}
+		gr.members = slices.DeleteFunc(gr.members, g.forgets)
 		g.wake(now, gr)
 	}
 	if all && warm > 0 { // with no warm server left, what the last ones took still holds
--- a/choice/host.go
+++ b/choice/host.go
@@ -15,6 +15,7 @@
 	AskList()
 	WatchList()
 	CloseIdle(server uint32)
+	Forget(server uint32) // it is gone and nothing of it is out
 	Log(line string)
 }
 
--- a/cmd/gorsewell/main.go
+++ b/cmd/gorsewell/main.go
@@ -17,7 +17,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"gorsewell/choice"
 	"gorsewell/internal/clientside"
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
@@ -161,9 +160,8 @@
 	servers := (sockets - spare) / 3
 	pool := serverside.New(work, clock, desk, counts, told, servers)
 	front := clientside.New(clock, desk, counts, told, sockets-spare-servers)
-	pool.Locate(addrs)
-	lists := discovery.New(g.Discovery, g.Known.Version, names, told, listed{desk, pool}, counts)
-	desk.Start(pool, lists, &told.Deployment, known)
+	lists := discovery.New(g.Discovery, g.Known.Version, names, told, desk, counts)
+	desk.Start(pool, lists, &told.Deployment, known, addrs)
 	log.Printf("event=started name=%s listen=%s", g.Name, g.Listen)
 
 	var group errgroup.Group
@@ -179,17 +177,6 @@
 	return err
 }
 
-// listed passes a list on to those who need it: addresses first, as the module may send at once.
-type listed struct {
-	desk *dispatch.Dispatch
-	pool *serverside.Pool
-}
-
-func (l listed) Listed(scope choice.ListScope, servers []choice.Listed, addrs map[uint32]string) {
-	l.pool.Locate(addrs)
-	l.desk.Listed(scope, servers)
-}
-
 // printCounters prints the counters whenever SIGUSR1 asks for them.
 func printCounters(ctx context.Context, counts *counters.Set) error {
 	asked := make(chan os.Signal, 1)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,11 +9,13 @@
 	"hash/crc32"
 	"io"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -50,7 +52,9 @@
 type Names struct {
 	clock        exchange.Clock
 	zones, kinds []string
-	servers      map[uint32]string
+
+	mu      sync.Mutex // guards the servers, which others forget
+	servers map[uint32]string
 }
 
 // NewNames begins with the zones and kinds that the settings name.
@@ -60,6 +64,8 @@
 
 // server is the number in an id such as s-5be2a07c, the same at every gateway; other ids are hashed.
 func (n *Names) server(id string) uint32 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	number, err := strconv.ParseUint(strings.TrimPrefix(id, "s-"), 16, 32)
 	if err != nil {
 		number = uint64(crc32.ChecksumIEEE([]byte(id)))
@@ -72,11 +78,20 @@
 	}
 }
 
+// Forget gives a server's number free.
+func (n *Names) Forget(server uint32) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.servers, server)
+}
+
 func place(names *[]string, name string) uint8 {
 	name = deployment.Plain(name)
 	i := slices.Index(*names, name)
 	if i < 0 {
-		i = len(*names)
+		if i = len(*names); i > math.MaxUint8 { // more than can be told apart
+			return math.MaxUint8
+		}
 		*names = append(*names, name)
 	}
 	return uint8(i)
@@ -159,6 +174,9 @@
 // Watch asks for changes from now on, without waiting for them. It ends with a failed call.
 func (c *Client) Watch() { poke(c.watch) }
 
+// Forget drops what is kept of a server.
+func (c *Client) Forget(server uint32) { c.names.Forget(server) }
+
 func poke(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -219,6 +220,22 @@
 	}
 }
 
+func TestNothingIsKeptOfServersThatAreForgotten(t *testing.T) {
+	n := NewNames(exchange.StartClock(), &deployment.Told{})
+	for i := range 5000 {
+		p := &Page{Servers: []Entry{{ID: fmt.Sprintf("s-%x", i), Addr: "10.0.0.1:1", State: "in_service",
+			Zone: fmt.Sprint(i), Kind: fmt.Sprint(i)}}}
+		listed, _, err := n.Listed(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Forget(listed[0].ID)
+	}
+	if len(n.servers) != 0 || len(n.zones) > 256 || len(n.kinds) > 256 {
+		t.Errorf("%d servers, %d zones, %d kinds", len(n.servers), len(n.zones), len(n.kinds))
+	}
+}
+
 func TestServersKeepTheirNumbers(t *testing.T) {
 	n := NewNames(exchange.StartClock(), &deployment.Told{})
 	a, b := n.server("s-5be2a07c"), n.server("S-5BE2A07C")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,12 +20,15 @@
 	Cancel(x *exchange.Exchange, number uint8)
 	Probe(server uint32)
 	CloseIdle(server uint32)
+	Locate(addrs map[uint32]string)
+	Forget(server uint32)
 }
 
 // Discovery is the source of lists as the module needs it. No call may block or call back.
 type Discovery interface {
 	Ask()
 	Watch()
+	Forget(server uint32)
 }
 
 // Dispatch is the host of one gateway's decision module.
@@ -58,12 +61,12 @@
 }
 
 // Start makes the module and hands it the list that was known at the start.
-func (d *Dispatch) Start(s Servers, l Discovery, told *choice.Deployment, known []choice.Listed) {
+func (d *Dispatch) Start(s Servers, l Discovery, told *choice.Deployment, known []choice.Listed, addrs map[uint32]string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.servers, d.discovery = s, l
 	d.gateway = choice.New(d, told)
-	d.gateway.List(d.now(), choice.ListCached, known)
+	d.mu.Unlock()
+	d.Listed(choice.ListCached, known, addrs)
 }
 
 // Run calls the module's timers until the context ends.
@@ -202,10 +205,12 @@
 	}
 }
 
-// Listed hands over what discovery tells.
-func (d *Dispatch) Listed(scope choice.ListScope, listed []choice.Listed) {
+// Listed hands over what discovery tells: addresses first, as the module may send at once, and under the mutex, as it may
+// forget a server that is listed again.
+func (d *Dispatch) Listed(scope choice.ListScope, listed []choice.Listed, addrs map[uint32]string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.servers.Locate(addrs)
 	d.gateway.List(d.now(), scope, listed)
 }
 
@@ -259,4 +264,8 @@
 func (d *Dispatch) AskList()                { d.discovery.Ask() }
 func (d *Dispatch) WatchList()              { d.discovery.Watch() }
 func (d *Dispatch) CloseIdle(server uint32) { d.servers.CloseIdle(server) }
-func (d *Dispatch) Log(line string)         { log.Printf("event=decision what=%q", line) }
+func (d *Dispatch) Forget(server uint32) {
+	d.servers.Forget(server)
+	d.discovery.Forget(server)
+}
+func (d *Dispatch) Log(line string) { log.Printf("event=decision what=%q", line) }
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// Forget drops what is kept of a server.
+func (p *Pool) Forget(server uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(server)
+	delete(p.addrs, server)
+}
+
 // Send starts a send, of which SendEnded tells the result.
 func (p *Pool) Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration) {
 	p.start(&job{x: x, number: number, server: server, due: due})
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -333,6 +333,23 @@
 	}
 }
 
+func TestNothingIsKeptOfServersThatAreForgotten(t *testing.T) {
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+	for id := uint32(100); id < 2100; id++ {
+		p.Locate(map[uint32]string{id: p.addrs[server]})
+		if id%10 == 0 {
+			p.Send(op(t), 0, id, p.soon())
+			e.next(t)
+		}
+		p.Forget(id)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.addrs) != 1 || len(p.idle) != 0 || len(p.out) != 0 {
+		t.Errorf("%d addresses, %d idle lists, %d jobs", len(p.addrs), len(p.idle), len(p.out))
+	}
+}
+
 func TestCancel(t *testing.T) {
 	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return nil, true }})
 	x := op(t)
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -120,7 +120,11 @@
 	be.PutUint64(r[7:], in.clock(at))
 }
 
-func (in *instance) AskList()                { in.record(acAskList) }
-func (in *instance) WatchList()              { in.record(acWatch)[3] = 1 }
+func (in *instance) AskList()   { in.record(acAskList) }
+func (in *instance) WatchList() { in.record(acWatch)[3] = 1 }
+
+// Forget implements choice.Host: the bench keeps no names of its own.
+func (in *instance) Forget(uint32) {}
+
 func (in *instance) CloseIdle(server uint32) { be.PutUint32(in.record(acCloseIdle)[3:], server) }
 func (in *instance) Log(line string)         { in.text(acLog, line) }
