A flood of silent connections leaves nobody unserved

At fault: Front.accept closed whatever came while more than sixteen beyond the bound were open, and those that were to make room took 40 ms to go, so a burst of silent connections closed the usual ones behind it. Ruled out: descriptors (290 of 384), the length of the listener's queue.

Now as many of the quietest are let go as there are too many, those that never sent a command of use within a millisecond, unless they came in the last 10 ms; a newcomer waits up to 30 ms for room before it is told 53300, and at sixteen beyond the bound the listener's queue waits for up to 0.16 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,9 +160,7 @@
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{OpType: t})
-		if t.Need == Bounded {
-			g.tightest = min(g.tightest, t.Bound)
-		}
+		g.tightest = min(g.tightest, cmp.Or(t.Bound, time.Hour))
 	}
 	if g.askWait = g.brief; d.ListAsked {
 		h.WatchList()
@@ -454,9 +452,8 @@
 	return min(1, g.coldFrom+(1-g.coldFrom)*max(0, float64(now-s.started)/float64(g.coldTime)))
 }
 
-// coldTakes is rule 4. A cold server is sent at most a cautious part of the stated multiple of its worst-case
-// capacity, taken from what warm servers take from this gateway on average, or of what it has itself acked of
-// late. The allowance starts below zero by chance, so that many gateways do not all begin with one send.
+// coldTakes is rule 4: a cold server is sent a cautious part of the stated multiple of its worst case, by
+// what warm ones take, or of what it acked of late. It begins below zero by chance: gateways may be many.
 func (g *Gateway) coldTakes(now time.Duration, o *op, s *server) bool {
 	work, r := float64(o.t.usual()), g.ramp(now-g.overloadTime, s)
 	if r >= 1 {
@@ -548,14 +545,13 @@
 	}
 	// The strain stands still with one answer in four later than half its latency target, or none. Where a limit
 	// can shrink, or did at the last answer, that is left to it: one bad server is not all of them.
-	strain := g.strain(s)
 	if late := took > o.t.Target/2 || result == ServerFull; late && s.limit <= 1 {
 		if s.limit == 1 {
-			*strain++
+			*g.strain(s)++
 		}
 		s.limit *= cut
 	} else if !late {
-		*strain = max(0, *strain-relief)
+		*g.strain(s) = max(0, *g.strain(s)-relief)
 		s.limit = max(s.limit, min(1, s.limit/cut))
 	}
 }
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -2,12 +2,14 @@
 package clientside
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"log"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +26,10 @@
 const (
 	lastCalls   = 500 * time.Millisecond  // a planned stop is followed by 0.4 s of arrivals, and a margin
 	crossing    = 20 * time.Millisecond   // for which a connection to be closed is still looked at
+	newcomer    = 10 * time.Millisecond   // in which the first bytes of a client that has some to say are here
 	spokeWithin = 2500 * time.Millisecond // who has said nothing whole is owed an end 3 s after connecting
 	idleFor     = 2 * time.Second         // after which a connection that owes nothing may be closed
-	turnedAway  = 16                      // connections beyond the most, each of which is told so
+	turnedAway  = 16                      // connections beyond the most, which leave or are told so
 )
 
 // Front is where clients come in.
@@ -41,13 +44,14 @@
 	closing atomic.Bool // connections are closed between ops
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
+	gone    chan struct{}       // a connection has been closed
 	ids     map[string]struct{} // of the ops that are open
 }
 
 // New makes a front for at most most connections.
 func New(clock exchange.Clock, desk exchange.Desk, counts *counters.Set, told *deployment.Told, most int) *Front {
 	f := &Front{clock: clock, desk: desk, counts: counts, told: told, opTypes: map[string]uint8{},
-		most: int64(most), conns: map[*conn]struct{}{}, ids: map[string]struct{}{}}
+		most: int64(most), conns: map[*conn]struct{}{}, gone: make(chan struct{}, 1), ids: map[string]struct{}{}}
 	for i, name := range told.OpTypeNames {
 		f.opTypes[name] = uint8(i)
 	}
@@ -77,6 +81,7 @@
 // accept takes connections until the listener fails, or its time is up after the context's end.
 func (f *Front) accept(ctx context.Context, l *net.TCPListener, group *errgroup.Group) error {
 	for failing := false; ; {
+		f.awaitRoom()
 		nc, err := l.AcceptTCP()
 		switch {
 		case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
@@ -93,8 +98,7 @@
 		}
 		failing = false
 		f.counts.ClientConns.Add(1)
-		open := f.counts.ClientOpen.Add(1)
-		if open > f.most+turnedAway {
+		if f.counts.ClientOpen.Add(1) > f.most+turnedAway { // nobody leaves
 			f.counts.ClientRefused.Add(1)
 			f.counts.ClientOpen.Add(-1)
 			nc.Close()
@@ -102,39 +106,69 @@
 		}
 		c := &conn{front: f, net: nc, window: pgwire.Window{Most: f.told.LongestMessage}, queue: make(chan reply, queueSize+1)}
 		c.heard.Store(int64(f.clock.Now()))
-		full := open > f.most && !f.makeRoom()
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
 		f.mu.Unlock()
+		f.hasRoom(nil)
 		group.Go(func() error {
-			c.run(full)
+			c.run()
 			return nil
 		})
 	}
 }
 
-// makeRoom lets the connection go that has been quiet for longest, if there is one that is owed nothing and has
-// either been idle for long enough or never said anything whole: clients that keep a connection for good or connect and
-// say nothing must not keep out those who ask.
-func (f *Front) makeRoom() bool {
+// awaitRoom leaves new connections in the listener's queue for the moment that those take which are on their way out.
+func (f *Front) awaitRoom() {
+	for i := 0; i < turnedAway && f.counts.ClientOpen.Load() >= f.most+turnedAway; i++ {
+		f.hasRoom(nil)
+		select {
+		case <-f.gone:
+		case <-time.After(newcomer):
+		}
+	}
+}
+
+// hasRoom tells whether no more connections than the most will be open once those have closed that are on their way
+// out. Else it lets those go that have been quiet for longest, of those that are owed nothing and have either been idle for
+// long enough or never said anything of use: clients that keep a connection for good, or connect and say nothing, must
+// not keep out those who ask. The one that asks for room is not among them.
+func (f *Front) hasRoom(forOne *conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var quietest *conn
-	since := int64(f.clock.Now())
+	now, stay := f.clock.Now(), int64(0)
+	var quiet []*conn
 	for c := range f.conns {
-		heard := c.heard.Load()
-		idle := f.clock.Now()-time.Duration(heard) >= idleFor || !c.spoke.Load()
-		if idle && heard < since && c.owed.Load() == 0 && !c.leaving.Load() {
-			quietest, since = c, heard
+		if c.leaving.Load() {
+			continue
+		}
+		stay++
+		idle := now - time.Duration(c.heard.Load())
+		if c != forOne && c.owed.Load() == 0 && (idle >= idleFor || idle >= newcomer && !c.spoke.Load()) {
+			quiet = append(quiet, c)
 		}
 	}
-	if quietest == nil {
-		return false
+	if stay <= f.most {
+		return true
 	}
-	f.counts.ClientIdleClosed.Add(1)
-	quietest.leaving.Store(true)
-	quietest.net.SetReadDeadline(exchange.Past)
-	return true
+	slices.SortFunc(quiet, func(a, b *conn) int { return cmp.Compare(a.heard.Load(), b.heard.Load()) })
+	for _, c := range quiet[:min(int64(len(quiet)), stay-f.most)] {
+		stay--
+		f.counts.ClientIdleClosed.Add(1)
+		c.leaving.Store(true)
+		c.net.SetReadDeadline(exchange.Past)
+	}
+	return stay <= f.most
+}
+
+// findsRoom waits for a moment for room: those who came just before may turn out to have nothing to say.
+func (f *Front) findsRoom(c *conn) bool {
+	for range 3 {
+		if f.hasRoom(c) {
+			return true
+		}
+		time.Sleep(newcomer)
+	}
+	return f.hasRoom(c)
 }
 
 // opens takes note of an op that is open; false if another of its id is.
@@ -165,17 +199,17 @@
 	owed   atomic.Int32 // replies queued and not written
 
 	heard   atomic.Int64 // when the last bytes came or went, a span
-	spoke   atomic.Bool  // a whole command has come
+	spoke   atomic.Bool  // a command has come that could be taken
 	leaving atomic.Bool  // it is to make room and has not been heard of since
 }
 
 // run serves the connection until either end closes it. What was taken is answered first, unless the client
 // has gone.
-func (c *conn) run(full bool) {
+func (c *conn) run() {
 	f := c.front
 	var group errgroup.Group
 	group.Go(c.answer)
-	err := c.read(full)
+	err := c.read()
 	if errors.Is(err, errGone) {
 		for _, x := range c.open {
 			f.desk.Left(x)
@@ -193,4 +227,8 @@
 	delete(f.conns, c)
 	f.mu.Unlock()
 	f.counts.ClientOpen.Add(-1)
+	select {
+	case f.gone <- struct{}{}:
+	default:
+	}
 }
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -290,6 +290,28 @@
 	}
 }
 
+// On a day of bad clients connections by hundreds that said nothing had those closed unserved that came next.
+func TestAFloodOfSilentConnectionsKeepsNobodyOut(t *testing.T) {
+	t.Parallel()
+	f, _, addr, _ := front(t, 16, ack)
+	for range 10 {
+		for range 40 {
+			c, err := standin.Open(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+		began := time.Now()
+		if got, err := dial(t, addr).Query(ask); err != nil || got != "v1" || time.Since(began) > time.Second {
+			t.Errorf("%q, %v after %v", got, err, time.Since(began))
+		}
+	}
+	if f.counts.ClientRefused.Load() != 0 || f.counts.ClientIdleClosed.Load() < 300 {
+		t.Errorf("%s", f.counts)
+	}
+}
+
 func TestAnIDIsOpenOnce(t *testing.T) {
 	t.Parallel()
 	end := make(chan struct{})
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -17,15 +17,16 @@
 
 // Why a connection is read no longer.
 var (
-	errGone = errors.New("the client has gone")
-	errOver = errors.New("the connection is to be closed")
-	errMany = errors.New("too many commands at once")
+	errGone  = errors.New("the client has gone")
+	errOver  = errors.New("the connection is to be closed")
+	errQuiet = errors.New("the connection is to be closed, and nothing is under way on it")
+	errMany  = errors.New("too many commands at once")
 )
 
 // read takes what the client sends until it goes, or is to go.
-func (c *conn) read(full bool) error {
+func (c *conn) read() error {
 	c.wait(time.Now().Add(spokeWithin))
-	if err := c.startup(full); err != nil {
+	if err := c.startup(); err != nil {
 		return err
 	}
 	for {
@@ -61,7 +62,7 @@
 }
 
 // startup reads the packet with which a session begins and lets the client in.
-func (c *conn) startup(full bool) error {
+func (c *conn) startup() error {
 	for declined := 0; ; {
 		o, n, err := pgwire.Startup(c.window.Bytes())
 		if declined > 2 { // a client asks for either kind of encryption once
@@ -81,7 +82,7 @@
 			c.say([]byte{'N'}) // there is none: the client goes on in the clear
 		case o == pgwire.OpensCancel:
 			return errOver
-		case full:
+		case !c.front.findsRoom(c):
 			c.front.counts.ClientRefused.Add(1)
 			c.say(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
 			return errOver
@@ -129,10 +130,14 @@
 			last = false
 			c.wait(time.Time{})
 		case last:
-			return errOver
+			return errQuiet
 		default:
 			last = true
-			c.net.SetReadDeadline(time.Now().Add(crossing))
+			look := crossing
+			if c.leaving.Load() && !c.spoke.Load() {
+				look = time.Millisecond // what it had to say would be here: newcomers do not leave
+			}
+			c.net.SetReadDeadline(time.Now().Add(look))
 		}
 	}
 }
@@ -152,11 +157,11 @@
 	if err != nil {
 		return err
 	}
-	c.spoke.Store(true)
 	if c.owed.Load() >= queueSize {
 		return errMany
 	}
 	if trimmed := bytes.Trim(text, " ;\n\t"); len(trimmed) == 0 {
+		c.spoke.Store(true)
 		c.say(pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQuery)))
 		return nil
 	}
@@ -170,6 +175,7 @@
 	case !c.front.opens(string(s.ID)):
 		return c.unusable("42710", "an op of this id is open")
 	}
+	c.spoke.Store(true)
 	now := c.front.clock.Now()
 	x := &exchange.Exchange{Statement: s, OpType: kind, Group: s.Group, Session: session(s.Key), Again: s.Again,
 		Due: now + min(s.Remaining, c.front.told.OpTypes[kind].Timeout), After: choice.LongPast, Done: make(chan struct{})}
