--- a/cmd/gorsewell/main.go
+++ b/cmd/gorsewell/main.go
@@ -2,192 +2,130 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
-	"net"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"strconv"
-	"syscall"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/spf13/cobra"
 
-	"gorsewell/internal/clientside"
-	"gorsewell/internal/counters"
-	"gorsewell/internal/deployment"
-	"gorsewell/internal/discovery"
-	"gorsewell/internal/dispatch"
-	"gorsewell/internal/exchange"
-	"gorsewell/internal/serverside"
+	"gorsewell/internal/config"
+	"gorsewell/internal/yamlfile"
 )
 
-func main() {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
-	if err := run(); err != nil {
+// The exit codes of all commands of this project.
+const (
+	couldNotRun = 1
+	badInput    = 2
+)
+
+// badUsage marks an error as one of what was typed or written, not of the surroundings.
+type badUsage struct{ error }
+
+func main() { os.Exit(execute(os.Args[1:])) }
+
+// execute runs the command and gives its exit code.
+func execute(args []string) int {
+	root := commands()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	var problems yamlfile.Problems
+	switch {
+	case errors.As(err, &problems): // a line each, which an editor can follow
+		fmt.Fprintln(os.Stderr, problems)
+		return badInput
+	case errors.As(err, new(badUsage)):
 		fmt.Fprintln(os.Stderr, "gorsewell:", err)
-		os.Exit(1)
+		return badInput
 	}
+	fmt.Fprintln(os.Stderr, "gorsewell:", err)
+	return couldNotRun
 }
 
-// given is what the platform hands a gateway.
-type given struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
-		Cores    float64
-		MemoryMB int64 `json:"memory_mb"`
-		Sockets  int
-	}
-	Known      discovery.Page
-	Deployment json.RawMessage `json:"settings"`
-}
+// settingsVariable names the settings where the flag does not.
+const settingsVariable = "GORSEWELL_CONFIG"
 
-// read reads the file at LB_CONFIG. At the start the environment goes over the file; later the file is newer.
-func read(starting bool) (*given, *deployment.Told, error) {
-	path := os.Getenv("LB_CONFIG")
-	if path == "" {
-		return nil, nil, errors.New("LB_CONFIG is not set")
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, nil, err
-	}
-	g := &given{}
-	if err := json.Unmarshal(text, g); err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", path, err)
-	}
-	for name, field := range map[string]*string{"LB_NAME": &g.Name, "LB_LISTEN": &g.Listen, "LB_DISCOVERY": &g.Discovery} {
-		if v := os.Getenv(name); v != "" && (starting || *field == "" && name != "LB_DISCOVERY") {
-			*field = v
+func commands() *cobra.Command {
+	var path string
+	start := func(*cobra.Command, []string) error {
+		if path == "" {
+			path = os.Getenv(settingsVariable)
 		}
-		if *field == "" {
-			return nil, nil, fmt.Errorf("%s is not set", name)
+		settings, err := config.Load(path)
+		if err != nil {
+			return err
 		}
-	}
-	if _, _, err := net.SplitHostPort(g.Discovery); err != nil {
-		return nil, nil, fmt.Errorf("discovery: %w", err)
-	}
-	values, err := deployment.FromJSON(g.Deployment)
-	if err != nil {
-		return nil, nil, err
-	}
-	told, err := values.Read()
-	if err != nil {
-		return nil, nil, err
-	}
-	if told.Seed, err = strconv.ParseUint(g.Seed, 16, 64); err != nil {
-		return nil, nil, fmt.Errorf("seed %q is no number in hexadecimal form", g.Seed)
-	}
-	if len(told.OpTypes) == 0 {
-		return nil, nil, errors.New("the settings name no op type")
-	}
-	if _, _, err := discovery.NewNames(exchange.StartClock(), told).Listed(&g.Known); err != nil {
-		return nil, nil, fmt.Errorf("known: %w", err)
-	}
-	return g, told, nil
+		return run(path, settings)
+	}
+	root := &cobra.Command{
+		Use:           "gorsewell",
+		Short:         "A gateway that spreads reads over database replicas so that no session outruns its own writes",
+		Long:          "Without a sub-command it runs the gateway, as `gorsewell run` does.",
+		Args:          usage(cobra.NoArgs),
+		RunE:          start,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badUsage{err} })
+	runs := &cobra.Command{
+		Use:     "run",
+		Short:   "Run the gateway until SIGTERM",
+		Long:    "Runs the gateway. The platform's surroundings are read from LB_CONFIG; settings of our own are optional.",
+		Example: "  LB_CONFIG=gateway.json gorsewell run --config deploy/gorsewell.yaml",
+		Args:    usage(cobra.NoArgs),
+		RunE:    start,
+	}
+	for _, c := range []*cobra.Command{root, runs} {
+		c.Flags().StringVar(&path, "config", "", "YAML file of our own settings; else "+settingsVariable+" names it, else there are none")
+	}
+	root.AddCommand(runs, checks(), versions())
+	return root
 }
 
-// reload reads the file again at each SIGHUP and moves to its discovery. Nothing else of it can change while running.
-func reload(ctx context.Context, asked <-chan os.Signal, at string, lists *discovery.Client) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-asked:
-		}
-		g, _, err := read(false)
-		switch {
-		case err != nil:
-			log.Printf("event=reload_failed error=%q", err)
-		case g.Discovery == at:
-			log.Printf("event=reloaded discovery=%s", at)
-		default:
-			at = g.Discovery
-			lists.Move(at)
+// usage marks what a check of arguments finds as bad usage.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := check(c, args); err != nil {
+			return badUsage{err}
 		}
+		return nil
 	}
 }
 
-// messageShare is the part of the memory that one message may take: values come longer than the protocol's page says.
-const messageShare = 64
-
-// spare is how many descriptors are kept for the standard streams, the listener, discovery, the runtime and clients
-// that are being turned away.
-const spare = 32
-
-func run() error {
-	// Caught from here until the process ends: what follows a planned stop must not end it either.
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
-	g, told, err := read(true)
-	if err != nil {
-		return err
-	}
-	told.LongestMessage = int(g.Limits.MemoryMB) << 20 / messageShare
-	runtime.GOMAXPROCS(max(1, int(g.Limits.Cores)))
-	if g.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(g.Limits.MemoryMB << 20 * 3 / 4)
-		debug.SetGCPercent(400)
-	}
-	sockets := g.Limits.Sockets
-	if sockets <= 0 {
-		sockets = 1024
-	}
-	clock, counts := exchange.StartClock(), &counters.Set{}
-	names := discovery.NewNames(clock, told)
-	known, addrs, err := names.Listed(&g.Known)
-	if err != nil {
-		return err
-	}
-	addr, err := net.ResolveTCPAddr("tcp", g.Listen)
-	if err != nil {
-		return err
-	}
-	l, err := net.ListenTCP("tcp", addr)
-	if err != nil {
-		return err
+func checks() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a file of settings and tell all that is wrong with it",
+		Long:    "Checks a file of settings. Each problem is one line with file, line and key; the exit code is then 2.",
+		Example: "  gorsewell check deploy/gorsewell.yaml",
+		Args:    usage(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := config.Load(args[0]); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", args[0])
+			return nil
+		},
 	}
-	stop, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer unhook()
-	work, finish := context.WithCancel(context.Background())
-	defer finish()
-
-	desk := dispatch.New(clock, counts)
-	servers := (sockets - spare) / 3
-	pool := serverside.New(work, clock, desk, counts, told, servers)
-	front := clientside.New(clock, desk, counts, told, sockets-spare-servers)
-	lists := discovery.New(g.Discovery, g.Known.Version, names, told, desk, counts)
-	desk.Start(pool, lists, &told.Deployment, known, addrs)
-	log.Printf("event=started name=%s listen=%s", g.Name, g.Listen)
-
-	var group errgroup.Group
-	group.Go(func() error { return desk.Run(work) })
-	group.Go(func() error { return lists.Run(work) })
-	group.Go(pool.Wait)
-	group.Go(func() error { return reload(work, again, g.Discovery, lists) })
-	group.Go(func() error { return printCounters(work, counts) })
-	err = front.Serve(stop, l)
-	finish()
-	err = errors.Join(err, group.Wait())
-	log.Printf("event=stopped %s", counts)
-	return err
 }
 
-// printCounters prints the counters whenever SIGUSR1 asks for them.
-func printCounters(ctx context.Context, counts *counters.Set) error {
-	asked := make(chan os.Signal, 1)
-	signal.Notify(asked, syscall.SIGUSR1)
-	defer signal.Stop(asked)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-asked:
-			log.Printf("event=counters %s", counts)
-		}
+func versions() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  usage(cobra.NoArgs),
+		Run: func(c *cobra.Command, _ []string) {
+			built := "unknown Go"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				built = info.GoVersion
+			}
+			fmt.Fprintf(c.OutOrStdout(), "gorsewell %s, %s\n", version, built)
+		},
 	}
 }
+
+// version is what CHANGELOG.md calls the text that this was built from.
+const version = "0.3.0-dev"
--- /dev/null
+++ b/cmd/gorsewell/run.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"gorsewell/internal/clientside"
+	"gorsewell/internal/config"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/discovery"
+	"gorsewell/internal/dispatch"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/serverside"
+)
+
+// given is what the platform hands a gateway.
+type given struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB int64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Known      discovery.Page
+	Deployment json.RawMessage `json:"settings"`
+}
+
+// read reads the file at LB_CONFIG. At the start the environment goes over the file; later the file is newer.
+func read(starting bool) (*given, *deployment.Told, error) {
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return nil, nil, errors.New("LB_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	g := &given{}
+	if err := json.Unmarshal(text, g); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"LB_NAME": &g.Name, "LB_LISTEN": &g.Listen, "LB_DISCOVERY": &g.Discovery} {
+		if v := os.Getenv(name); v != "" && (starting || *field == "" && name != "LB_DISCOVERY") {
+			*field = v
+		}
+		if *field == "" {
+			return nil, nil, fmt.Errorf("%s is not set", name)
+		}
+	}
+	if _, _, err := net.SplitHostPort(g.Discovery); err != nil {
+		return nil, nil, fmt.Errorf("discovery: %w", err)
+	}
+	values, err := deployment.FromJSON(g.Deployment)
+	if err != nil {
+		return nil, nil, err
+	}
+	told, err := values.Read()
+	if err != nil {
+		return nil, nil, err
+	}
+	if told.Seed, err = strconv.ParseUint(g.Seed, 16, 64); err != nil {
+		return nil, nil, fmt.Errorf("seed %q is no number in hexadecimal form", g.Seed)
+	}
+	if len(told.OpTypes) == 0 {
+		return nil, nil, errors.New("the settings name no op type")
+	}
+	if _, _, err := discovery.NewNames(exchange.StartClock(), told).Listed(&g.Known); err != nil {
+		return nil, nil, fmt.Errorf("known: %w", err)
+	}
+	return g, told, nil
+}
+
+// reload reads the file again at each SIGHUP and moves to its discovery. Nothing else of it can change while running.
+func reload(ctx context.Context, asked <-chan os.Signal, at string, lists *discovery.Client) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-asked:
+		}
+		g, _, err := read(false)
+		switch {
+		case err != nil:
+			slog.Error("reload_failed", "error", err)
+		case g.Discovery == at:
+			slog.Info("reloaded", "discovery", at)
+		default:
+			at = g.Discovery
+			lists.Move(at)
+		}
+	}
+}
+
+// messageShare is the part of the memory that one message may take: values come longer than the protocol's page says.
+const messageShare = 64
+
+// spare is how many descriptors are kept for the standard streams, the listener, discovery, the runtime and clients
+// that are being turned away.
+const spare = 32
+
+func run(path string, settings *config.Settings) error {
+	logTo(os.Stderr, settings.Log.Level.Level)
+	// Caught from here until the process ends: what follows a planned stop must not end it either.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	g, told, err := read(true)
+	if err != nil {
+		return err
+	}
+	told.LongestMessage = int(g.Limits.MemoryMB) << 20 / messageShare
+	runtime.GOMAXPROCS(max(1, int(g.Limits.Cores)))
+	if g.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(g.Limits.MemoryMB << 20 * 3 / 4)
+		debug.SetGCPercent(400)
+	}
+	sockets := g.Limits.Sockets
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	clock, counts := exchange.StartClock(), &counters.Set{}
+	names := discovery.NewNames(clock, told)
+	known, addrs, err := names.Listed(&g.Known)
+	if err != nil {
+		return err
+	}
+	addr, err := net.ResolveTCPAddr("tcp", g.Listen)
+	if err != nil {
+		return err
+	}
+	l, err := net.ListenTCP("tcp", addr)
+	if err != nil {
+		return err
+	}
+	stop, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer unhook()
+	work, finish := context.WithCancel(context.Background())
+	defer finish()
+
+	desk := dispatch.New(clock, counts)
+	servers := (sockets - spare) / 3
+	pool := serverside.New(work, clock, desk, counts, told, servers)
+	front := clientside.New(clock, desk, counts, told, sockets-spare-servers)
+	lists := discovery.New(g.Discovery, g.Known.Version, names, told, desk, counts)
+	desk.Start(pool, lists, &told.Deployment, known, addrs)
+	slog.Info("started", "name", g.Name, "listen", g.Listen)
+
+	var group errgroup.Group
+	group.Go(func() error { return desk.Run(work) })
+	group.Go(func() error { return lists.Run(work) })
+	group.Go(pool.Wait)
+	group.Go(func() error { return reload(work, again, g.Discovery, lists) })
+	group.Go(func() error { return printCounters(work, counts) })
+	err = front.Serve(stop, l)
+	finish()
+	err = errors.Join(err, group.Wait())
+	slog.LogAttrs(context.Background(), slog.LevelInfo, "stopped", counts.Attrs()...)
+	return err
+}
+
+// logTo sends the log to w as key=value, with event first after the time. Nothing of an op is ever logged, so lines are few.
+func logTo(w io.Writer, least slog.Level) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least,
+		ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+			switch {
+			case len(groups) > 0:
+			case a.Key == slog.MessageKey:
+				a.Key = "event"
+			case a.Key == slog.TimeKey:
+				a.Value = slog.StringValue(a.Value.Time().UTC().Format("2006-01-02T15:04:05.000000Z"))
+			}
+			return a
+		}})))
+}
+
+// printCounters prints the counters whenever SIGUSR1 asks for them.
+func printCounters(ctx context.Context, counts *counters.Set) error {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-asked:
+			slog.LogAttrs(ctx, slog.LevelInfo, "counters", counts.Attrs()...)
+		}
+	}
+}
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -63,7 +63,7 @@
 func (f *Front) Serve(ctx context.Context, l *net.TCPListener) error {
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
-		log.Printf("event=stopping")
+		slog.Info("stopping")
 		l.SetDeadline(time.Now().Add(lastCalls))
 	})
 	err := f.accept(ctx, l, &group)
@@ -90,7 +90,7 @@
 			return err
 		case err != nil: // out of descriptors, or a connection that broke before it was taken
 			if !failing {
-				log.Printf("event=accept_failed error=%q", err)
+				slog.Error("accept_failed", "error", err)
 			}
 			failing = true
 			time.Sleep(crossing)
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -2,7 +2,7 @@
 package counters
 
 import (
-	"fmt"
+	"log/slog"
 	"reflect"
 	"strings"
 	"sync/atomic"
@@ -44,21 +44,31 @@
 	Lists, ListsFailed                atomic.Int64
 }
 
-// String gives all counters as key=value, in the order in which they are declared.
-func (s *Set) String() string {
-	var b strings.Builder
+// Attrs gives all counters for a log line, in the order in which they are declared.
+func (s *Set) Attrs() (all []slog.Attr) {
 	v := reflect.ValueOf(s).Elem()
 	for i := range v.NumField() {
 		switch c := v.Field(i).Addr().Interface().(type) {
 		case *atomic.Int64:
-			fmt.Fprintf(&b, "%s=%d ", snake(v.Type().Field(i).Name), c.Load())
+			all = append(all, slog.Int64(snake(v.Type().Field(i).Name), c.Load()))
 		case *[len(sendEnds)]atomic.Int64:
 			for end, name := range sendEnds {
-				fmt.Fprintf(&b, "%s=%d ", name, c[end].Load())
+				all = append(all, slog.Int64(name, c[end].Load()))
 			}
 		}
 	}
-	fmt.Fprintf(&b, "assertions_broken=%d", invariant.Broken())
+	return append(all, slog.Int64("assertions_broken", invariant.Broken()))
+}
+
+// String gives all counters as key=value.
+func (s *Set) String() string {
+	var b strings.Builder
+	for i, a := range s.Attrs() {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(a.String())
+	}
 	return b.String()
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -218,7 +218,7 @@
 			c.http.CloseIdleConnections()
 			c.settle(next)
 			c.held = false // versions may count otherwise there
-			log.Printf("event=discovery_moved discovery=%s", next)
+			slog.Info("discovery_moved", "discovery", next)
 			c.Watch()
 		}
 	}
@@ -267,14 +267,14 @@
 	if err != nil {
 		c.counts.ListsFailed.Add(1)
 		if !c.failing {
-			log.Printf("event=discovery_failed error=%q", err)
+			slog.Warn("discovery_failed", "error", err)
 		}
 		c.failing = true
 		c.taker.Listed(choice.ListFailed, nil, nil)
 		return false
 	}
 	if c.failing {
-		log.Printf("event=discovery_back version=%d", p.Version)
+		slog.Info("discovery_back", "version", p.Version)
 	}
 	c.failing = false
 	c.counts.Lists.Add(1)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -268,4 +268,4 @@
 	d.servers.Forget(server)
 	d.discovery.Forget(server)
 }
-func (d *Dispatch) Log(line string) { log.Printf("event=decision what=%q", line) }
+func (d *Dispatch) Log(line string) { slog.Info("decision", "what", line) }
--- a/internal/invariant/release.go
+++ b/internal/invariant/release.go
@@ -2,6 +2,6 @@
 
 package invariant
 
-import "log"
+import "log/slog"
 
-func fail(text string) { log.Printf("event=broken what=%q", text) }
+func fail(text string) { slog.Error("broken", "what", text) }
