Gossip's state machine: members, rumours, credit, in virtual time

Need: instances are to share what they suspect of servers so that no rumour decides anything.

Change: internal/gossip, no I/O: probing with indirect probes, suspicion after own failed probes only, accusations that make others look, refutation by incarnation, Lifeguard's doubt in oneself, news told a bounded number of times, comparisons of tables, rumours with ages by their observer's own clock, credit by own evidence, a byte budget.

--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,330 @@
+// Package gossip decides, for one instance, who else is there and what it believes of what they say about servers.
+//
+// It does no I/O, reads no clock and starts no goroutine: a carrier calls one method for each thing that happens, with the
+// span since the instance's start, and the node acts through its Host. The emulator calls the same methods in virtual time.
+// Everything that reaches it has been proved to come from whom it names; that is the carrier's part.
+//
+// Its one principle is that hearsay never decides. What others say of a member makes this instance probe that member; what
+// they say of a server is weighed by how often each of them was borne out here, and handed to the decision module, which
+// may look sooner but not act on it alone. docs/gossip.md tells why.
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Host is all that a node can do to the world. Calls return at once and never call back.
+type Host interface {
+	// Datagram signs and sends a message. What it holds is not changed afterwards.
+	Datagram(to netip.AddrPort, m *Message)
+	// Exchange asks the instance at an address to compare tables. Exchanged or ExchangeFailed follows.
+	Exchange(with netip.AddrPort, d *Digest)
+	// Wake wants Timer to be called at a time; a later call takes an earlier one's place.
+	Wake(at time.Duration)
+	// Rumoured tells how many observers, weighed, now say that a server is in trouble; 0 when none does any more.
+	Rumoured(server uint64, weight float64)
+	// Log tells what an operator would want to know. It is called seldom.
+	Log(event, name string)
+}
+
+// Setup is what a node is told at its start.
+type Setup struct {
+	Name  string
+	Key   KeyID
+	Run   uint64 // drawn anew at each start, so that two runs under one name can be told apart
+	Seed  uint64 // of this node's chance
+	Addr  netip.AddrPort
+	Learn bool // Addr's host is not known: others tell from where they see us
+	Seeds []netip.AddrPort
+
+	ProbeEvery, ProbeTimeout, SuspectFor, TellEvery, SyncEvery, RumourLife time.Duration
+
+	Members, Rumours, RumoursPerObserver, ObserversPerServer int
+	Datagram, DatagramsPerTell, BytesPerSecond               int
+}
+
+// Ratios that fit any setup.
+const (
+	helpers      = 3   // members asked to probe one that does not answer
+	checksARound = 6   // members probed beside the regular one because of what others say or of an earlier failure
+	accusers     = 3   // that are kept, and passed on, for one member
+	accusedByOne = 8   // members that one other accuses at a time, as far as it is listened to
+	mostFalse    = 6   // accusations of late that turned out false here, after which another is not listened to
+	mostDoubt    = 8   // steps by which a node may slow itself down
+	tellRumour   = 3.0 // a rumour is told this many times the logarithm of the members
+	leastTold    = 6   // times that an item is told however often others tell it too
+	tellClaim    = 1.5 // and a word on a member
+	deadKept     = 90  // probe rounds for which a dead member's name is kept at least, in case its word still goes round
+	burst        = 1   // seconds of the byte budget that may be spent at once
+)
+
+// Node is one instance's part in the gossip.
+type Node struct {
+	host Host
+	set  Setup
+	rng  *rand.Rand
+
+	own         Claim // what is said of itself; its incarnation is its newest
+	joined      bool  // it knows of no earlier run of its own that others still hold
+	quiet       bool  // another run holds its name, or it has left
+	joinAt      time.Duration
+	joinWait    time.Duration
+	seen        map[netip.Addr]map[string]bool // who sees us at which address
+	counter     uint32                         // of probes
+	doubt       int                            // in itself, 0 to mostDoubt
+	timedAt     time.Duration
+	refutedAt   time.Duration
+	wakeAt      time.Duration
+	nextProbe   time.Duration
+	nextTell    time.Duration
+	nextSync    time.Duration
+	nextSweep   time.Duration
+	spent       float64 // bytes beyond what time has paid for
+	spentAt     time.Duration
+	members     []*member // in the order in which they came; the order of probing is shuffled from it
+	byName      map[string]*member
+	byKey       map[KeyID]*member
+	byHash      map[uint64]*member
+	turns       []*member // yet to be probed in this turn
+	probes      []*probe  // out
+	checks      []*member // to be probed soon
+	helping     []*errand
+	news        []*item // to be told
+	table       table   // of rumours
+	lastNumber  uint32  // of its own rumours
+	servers     int     // that the module knows of
+	rumoured    map[uint64]*server
+	serverOrder []*server
+	counts      Counts
+}
+
+// New makes a node. Start begins its work.
+func New(h Host, s Setup) *Node {
+	n := &Node{host: h, set: s, rng: rand.New(rand.NewPCG(s.Seed, s.Run)), byName: map[string]*member{}, byKey: map[KeyID]*member{},
+		byHash: map[uint64]*member{}, rumoured: map[uint64]*server{}, seen: map[netip.Addr]map[string]bool{}}
+	n.table.byObserver = map[string][]*entry{}
+	n.own = Claim{Kind: Alive, Name: s.Name, By: s.Name, Key: s.Key, Run: s.Run, Incarnation: 1, Addr: s.Addr}
+	return n
+}
+
+// Start begins: seeds are asked for what they know.
+func (n *Node) Start(now time.Duration) {
+	n.timedAt, n.spentAt = now, now
+	n.joinWait = n.set.ProbeEvery
+	n.nextProbe = now + n.jitter(n.set.ProbeEvery)
+	n.nextTell = now + n.jitter(n.set.TellEvery)
+	n.nextSync = now + n.set.SyncEvery/2 + n.jitter(n.set.SyncEvery/2)
+	n.nextSweep = now + n.jitter(n.set.ProbeEvery)
+	n.joinAt = now
+	n.joined = len(n.set.Seeds) == 0
+	n.Timer(now)
+}
+
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return time.Duration(n.rng.Int64N(int64(d) + 1))
+}
+
+// hash is by what a name goes in digests.
+func hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Timer is called when the time has come that Wake asked for; calls at other times do no harm.
+func (n *Node) Timer(now time.Duration) {
+	n.mind(now)
+	if !n.joined && now >= n.joinAt {
+		n.join(now)
+	}
+	n.timeOuts(now)
+	if now >= n.nextProbe {
+		n.round(now)
+	}
+	if now >= n.nextSync {
+		n.nextSync = now + n.set.SyncEvery/2 + n.jitter(n.set.SyncEvery)
+		n.syncWithOne(now)
+	}
+	if now >= n.nextSweep {
+		n.nextSweep = now + n.set.ProbeEvery/2
+		n.sweep(now)
+	}
+	if now >= n.nextTell {
+		n.tell(now)
+	}
+	n.timedAt = now
+	n.plan(now)
+}
+
+// plan asks to be woken when the next thing is due.
+func (n *Node) plan(now time.Duration) {
+	at := min(n.nextProbe, n.nextSync, n.nextSweep)
+	if !n.joined {
+		at = min(at, n.joinAt)
+	}
+	if len(n.news) > 0 {
+		at = min(at, n.nextTell)
+	}
+	for _, p := range n.probes {
+		at = min(at, p.due())
+	}
+	for _, e := range n.helping {
+		at = min(at, e.nackAt)
+	}
+	at = max(at, now+time.Millisecond)
+	n.wakeAt = at
+	n.host.Wake(at)
+}
+
+// sooner asks to be woken at a time unless that will happen before.
+func (n *Node) sooner(at time.Duration) {
+	if at < n.wakeAt {
+		n.wakeAt = at
+		n.host.Wake(at)
+	}
+}
+
+// mind notices that the node itself stood still: then nobody else is to blame for what did not come, and what others
+// heard of it in the meantime is for it to put right.
+func (n *Node) mind(now time.Duration) {
+	gap := now - n.timedAt
+	if n.wakeAt > 0 {
+		gap = now - max(n.timedAt, n.wakeAt)
+	}
+	if gap < max(n.set.ProbeTimeout, n.set.ProbeEvery/2) {
+		return
+	}
+	n.counts.Paused++
+	n.doubt = min(mostDoubt, n.doubt+2)
+	n.probes, n.helping = nil, nil
+	for _, m := range n.members {
+		if m.state == suspect {
+			m.suspectTill += gap
+		}
+	}
+	n.timedAt = now
+}
+
+// doubts makes the node slower to judge, or faster again: who sees many fail is likely to be the one in trouble.
+func (n *Node) doubts(by int) { n.doubt = max(0, min(mostDoubt, n.doubt+by)) }
+
+// scaled is a time that grows with the node's doubt in itself.
+func (n *Node) scaled(d time.Duration) time.Duration { return d * time.Duration(1+n.doubt) }
+
+// Leave tells some members that this instance ends by plan, and falls silent.
+func (n *Node) Leave(now time.Duration) {
+	if n.quiet {
+		return
+	}
+	n.own.Kind = Left
+	n.own.Incarnation++
+	n.own.Clock = now
+	for _, m := range n.some(2*n.set.DatagramsPerTell, func(m *member) bool { return m.state == alive }) {
+		n.send(now, m, &Message{Kind: Tell, Claims: []Claim{n.own}})
+	}
+	n.quiet = true
+}
+
+// Rekey goes on under another key, whose certificate bears the same name.
+func (n *Node) Rekey(now time.Duration, key KeyID) {
+	n.own.Key = key
+	n.assert(now)
+	for _, s := range n.serverOrder {
+		s.own.told = false // what the old key has signed ends with that key
+	}
+}
+
+// Expelled ends all that a key has said: its certificate no longer counts.
+func (n *Node) Expelled(now time.Duration, key KeyID) {
+	if m := n.byKey[key]; m != nil {
+		n.counts.Expelled++
+		n.gone(now, m, left)
+		n.drop(m)
+	}
+}
+
+// Servers tells how many servers the module knows of: whoever finds most of them in trouble keeps that to itself.
+func (n *Node) Servers(now time.Duration, count int) { n.servers = count }
+
+// some draws up to count distinct members that fit.
+func (n *Node) some(count int, fits func(*member) bool) (drawn []*member) {
+	if len(n.members) == 0 {
+		return nil
+	}
+	// A few random tries find enough among many; a walk from a random place finds them among few.
+	start := n.rng.IntN(len(n.members))
+	if len(n.members) > 4*count {
+		for range 3 * count {
+			if m := n.members[n.rng.IntN(len(n.members))]; len(drawn) < count && fits(m) && !contains(drawn, m) {
+				drawn = append(drawn, m)
+			}
+		}
+	}
+	for i := 0; i < len(n.members) && len(drawn) < count; i++ {
+		if m := n.members[(start+i)%len(n.members)]; fits(m) && !contains(drawn, m) {
+			drawn = append(drawn, m)
+		}
+	}
+	return drawn
+}
+
+func contains(all []*member, m *member) bool {
+	for _, x := range all {
+		if x == m {
+			return true
+		}
+	}
+	return false
+}
+
+// Counts is what a node has counted since its start.
+type Counts struct {
+	Sent, SentBytes, Received                    int64
+	Replayed, Strange, StaleRun, OwnName         int64 // datagrams dropped: seen before, of nobody known, of an earlier run, under our name
+	StaleClaims, FutureClaims, ClaimsFull        int64
+	Accusations, AccusationsIgnored, Refutations int64
+	Suspected, Died, Revived, Expelled, Paused   int64
+	RumoursTaken, RumoursOld, RumoursFuture      int64
+	RumoursStrange, RumoursKnown, RumoursDropped int64 // of observers that are not members; held already; by a bound
+	RumoursMade, RumoursWithdrawn, RumoursHeld   int64
+	BorneOut, Contradicted                       int64
+	Syncs, SyncsFailed, TellsPutOff              int64
+}
+
+// Counts gives a copy of the counters.
+func (n *Node) Counts() Counts {
+	c := n.counts
+	c.RumoursHeld = int64(n.table.size)
+	return c
+}
+
+// Standing is how this instance holds a member.
+type Standing uint8
+
+// The standings.
+const (
+	IsAlive Standing = iota
+	IsSuspect
+	IsDead
+	HasLeft
+)
+
+// Peer is a member as this instance holds it.
+type Peer struct {
+	Name     string
+	Addr     netip.AddrPort
+	Standing Standing
+	Credit   float64 // of what it says about servers, 0 to 1
+}
+
+// Peers lists the members in the order in which they came, without the instance itself.
+func (n *Node) Peers() []Peer {
+	all := make([]Peer, len(n.members))
+	for i, m := range n.members {
+		all[i] = Peer{m.name, m.addr, Standing(m.state), m.credit(n.timedAt)}
+	}
+	return all
+}
+
+// Incarnation is the instance's own.
+func (n *Node) Incarnation() uint32 { return n.own.Incarnation }
--- /dev/null
+++ b/internal/gossip/sim_test.go
@@ -0,0 +1,268 @@
+package gossip
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+// land is a small network in virtual time for the tests of this package; the emulator has a larger one.
+type land struct {
+	t     *testing.T
+	now   time.Duration
+	seq   int
+	queue events
+	rng   *rand.Rand
+	nodes []*inhabitant
+	loss  float64
+	cut   func(from, to int) bool
+	sent  func(from, to int, m *Message)
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// inhabitant is one instance; it is the node's Host.
+type inhabitant struct {
+	*Node
+	l       *land
+	i       int
+	base    time.Duration // when this run started
+	run     uint64
+	counter uint64
+	wake    int
+	down    bool
+	paused  time.Duration // until
+	weights map[uint64]float64
+	log     []string
+	bytes   int
+}
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7946)
+}
+
+func newLand(t *testing.T, count int, seed uint64) *land {
+	l := &land{t: t, rng: rand.New(rand.NewPCG(seed, 7))}
+	for i := range count {
+		h := &inhabitant{l: l, i: i}
+		l.nodes = append(l.nodes, h)
+		h.start(nil)
+	}
+	return l
+}
+
+// start makes a run of the instance that knows nothing of earlier ones.
+func (h *inhabitant) start(change func(*Setup)) {
+	h.run = h.l.rng.Uint64()
+	h.base, h.counter, h.down, h.weights = h.l.now, 0, false, map[uint64]float64{}
+	s := Setup{Name: fmt.Sprintf("n%03d", h.i), Key: KeyID{byte(h.i >> 8), byte(h.i), 1}, Run: h.run, Seed: uint64(h.i), Addr: addrOf(h.i),
+		Seeds: []netip.AddrPort{addrOf(0), addrOf(1)}, ProbeEvery: time.Second, ProbeTimeout: 400 * time.Millisecond,
+		SuspectFor: 4 * time.Second, TellEvery: 200 * time.Millisecond, SyncEvery: 20 * time.Second, RumourLife: 30 * time.Second,
+		Members: 512, Rumours: 2048, RumoursPerObserver: 64, ObserversPerServer: 5, Datagram: 1200, DatagramsPerTell: 3, BytesPerSecond: 8000}
+	if change != nil {
+		change(&s)
+	}
+	h.Node = New(h, s)
+	n := h.Node
+	h.l.at(h.l.now+time.Duration(h.l.rng.IntN(1000))*time.Millisecond, func() {
+		if h.Node == n && !h.down {
+			n.Start(h.here())
+		}
+	})
+}
+
+func (h *inhabitant) here() time.Duration { return h.l.now - h.base }
+
+func (l *land) at(at time.Duration, do func()) {
+	l.seq++
+	heap.Push(&l.queue, event{at, l.seq, do})
+}
+
+func (l *land) run(until time.Duration) {
+	for len(l.queue) > 0 && l.queue[0].at <= until {
+		e := heap.Pop(&l.queue).(event)
+		l.now = e.at
+		e.do()
+	}
+	l.now = until
+}
+
+// then does something at an instance, later if it is paused, never if it has gone meanwhile.
+func (h *inhabitant) then(after time.Duration, do func()) {
+	n := h.Node
+	var try func()
+	try = func() {
+		switch {
+		case h.Node != n || h.down:
+		case h.l.now < h.paused:
+			h.l.at(h.paused, try)
+		default:
+			do()
+		}
+	}
+	h.l.at(h.l.now+after, try)
+}
+
+func (l *land) delay() time.Duration {
+	return time.Duration(500+l.rng.IntN(2000)) * time.Microsecond
+}
+
+func (l *land) by(at netip.AddrPort) *inhabitant {
+	a := at.Addr().As4()
+	if i := int(a[2])<<8 | int(a[3]); i < len(l.nodes) {
+		return l.nodes[i]
+	}
+	return nil
+}
+
+func (h *inhabitant) Datagram(to netip.AddrPort, m *Message) {
+	l, x := h.l, h.l.by(to)
+	h.counter++
+	h.bytes += m.Bytes()
+	d := Datagram{From: h.set.Name, Key: h.own.Key, Run: h.run, Counter: h.counter, Message: m}
+	if m.Bytes() > h.set.Datagram+28 {
+		l.t.Errorf("a datagram of %d bytes", m.Bytes())
+	}
+	if x == nil || l.cut != nil && l.cut(h.i, x.i) || l.rng.Float64() < l.loss {
+		return
+	}
+	if l.sent != nil {
+		l.sent(h.i, x.i, m)
+	}
+	x.then(l.delay(), func() { x.Received(x.here(), d) })
+	if l.loss > 0 && l.rng.Float64() < l.loss { // and where there is loss, some come twice, out of order
+		x.then(l.delay()*5, func() { x.Received(x.here(), d) })
+	}
+}
+
+func (h *inhabitant) Exchange(with netip.AddrPort, d *Digest) {
+	l, x := h.l, h.l.by(with)
+	if x == nil || x.down || l.cut != nil && (l.cut(h.i, x.i) || l.cut(x.i, h.i)) {
+		h.then(time.Second, func() { h.ExchangeFailed(h.here(), with) })
+		return
+	}
+	x.then(l.delay(), func() {
+		items := x.Asked(x.here(), d, addrOf(h.i).Addr())
+		h.then(l.delay(), func() {
+			if give := h.Exchanged(h.here(), items); give != nil {
+				x.then(l.delay(), func() { x.Given(x.here(), give) })
+			}
+		})
+	})
+}
+
+func (h *inhabitant) Wake(at time.Duration) {
+	h.wake++
+	wake := h.wake
+	h.then(max(0, at-h.here()), func() {
+		if h.wake == wake {
+			h.Timer(h.here())
+		}
+	})
+}
+
+func (h *inhabitant) Rumoured(server uint64, weight float64) { h.weights[server] = weight }
+func (h *inhabitant) Log(event, name string)                 { h.log = append(h.log, event+" "+name) }
+
+// standings counts, over all instances that run, how they hold the others.
+func (l *land) standings() map[Standing]int {
+	all := map[Standing]int{}
+	for _, h := range l.nodes {
+		if !h.down {
+			for _, p := range h.Peers() {
+				all[p.Standing]++
+			}
+		}
+	}
+	return all
+}
+
+func (l *land) died() (sum int64) {
+	for _, h := range l.nodes {
+		sum += h.counts.Died
+	}
+	return sum
+}
+
+// know counts who is told of a server.
+func (l *land) know(server uint64) (count int) {
+	for _, h := range l.nodes {
+		if !h.down && h.weights[server] > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAllFindOneAnotherThroughASeed(t *testing.T) {
+	l := newLand(t, 50, 1)
+	l.run(60 * time.Second)
+	if got := l.standings(); got[IsAlive] != 50*49 || len(got) != 1 {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestARumourReachesAllAndItsWithdrawalToo(t *testing.T) {
+	l := newLand(t, 50, 2)
+	l.run(60 * time.Second)
+	h := l.nodes[7]
+	h.Symptom(h.here(), 99, Silent, 255)
+	at := l.now
+	for l.know(99) < 49 && l.now < at+10*time.Second {
+		l.run(l.now + 50*time.Millisecond)
+	}
+	if took := l.now - at; took > 2*time.Second {
+		t.Errorf("known to %d after %v", l.know(99), took)
+	}
+	if slices.ContainsFunc(l.nodes, func(x *inhabitant) bool { return x.weights[99] > 0.34 }) {
+		t.Error("one observer counts for more than one")
+	}
+	h.Recovered(h.here(), 99)
+	l.run(l.now + 2*time.Second)
+	if l.know(99) > 0 {
+		t.Errorf("%d still hold it", l.know(99))
+	}
+}
+
+func TestADeadMemberIsFoundByAll(t *testing.T) {
+	l := newLand(t, 50, 3)
+	l.run(60 * time.Second)
+	h := l.nodes[20]
+	h.Symptom(h.here(), 99, Silent, 255)
+	l.run(l.now + 2*time.Second)
+	h.down = true
+	l.run(l.now + 12*time.Second)
+	if got := l.standings(); got[IsDead] != 49 || got[IsSuspect] > 0 {
+		t.Errorf("%v", got)
+	}
+	if l.know(99) > 0 {
+		t.Errorf("%d hold a rumour of a dead observer", l.know(99))
+	}
+	h.start(nil)
+	l.run(l.now + 10*time.Second)
+	if got := l.standings(); got[IsAlive] != 50*49 {
+		t.Errorf("after its return: %v", got)
+	}
+}
--- /dev/null
+++ b/internal/gossip/sync.go
@@ -0,0 +1,231 @@
+package gossip
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Bounds on one comparison of tables. What is left over follows in the next one.
+const (
+	digestRumours = 512
+	answerBytes   = 12 << 10
+	answerLeast   = 3 << 10 // that a comparison brings at least, however short the budget is
+)
+
+// join asks a seed, or somebody that is known already, for what it holds.
+func (n *Node) join(now time.Duration) {
+	n.joinAt = now + n.joinWait
+	n.joinWait = min(2*n.joinWait, 10*n.set.ProbeEvery)
+	if n.quiet && n.own.Kind == Left {
+		return
+	}
+	at := n.set.Seeds
+	if len(n.members) > 0 && n.rng.IntN(2) == 0 {
+		at = nil
+		for _, m := range n.members {
+			at = append(at, m.addr)
+		}
+	}
+	if len(at) == 0 {
+		return
+	}
+	n.exchange(now, at[n.rng.IntN(len(at))])
+}
+
+// syncWithOne compares tables with a member drawn by chance; now and then with a seed, as the members of one half of a
+// partition may all have forgotten the other half.
+func (n *Node) syncWithOne(now time.Duration) {
+	if n.quiet || !n.joined {
+		return
+	}
+	if len(n.set.Seeds) > 0 && n.rng.IntN(8) == 0 {
+		n.exchange(now, n.set.Seeds[n.rng.IntN(len(n.set.Seeds))])
+		return
+	}
+	for _, m := range n.some(1, func(m *member) bool { return m.state == alive }) {
+		n.exchange(now, m.addr)
+	}
+}
+
+func (n *Node) exchange(now time.Duration, with netip.AddrPort) {
+	if with == n.own.Addr {
+		return
+	}
+	d := n.digest(now)
+	n.charge(now, d.Bytes())
+	n.counts.SentBytes += int64(d.Bytes())
+	n.host.Exchange(with, d)
+}
+
+// digest is what this instance holds, in short.
+func (n *Node) digest(now time.Duration) *Digest {
+	d := &Digest{Own: n.self(now)}
+	for _, m := range n.members {
+		d.Members = append(d.Members, MemberMark{m.hash, m.claim.Incarnation, m.state == dead || m.state == left})
+	}
+	d.Rumours = n.table.marks(digestRumours)
+	return d
+}
+
+// Asked takes another's digest and gives what that one lacks. It came from the address seenAt.
+func (n *Node) Asked(now time.Duration, d *Digest, seenAt netip.Addr) *Items {
+	n.mind(now)
+	defer func() { n.plan(now) }()
+	items := &Items{SeenAt: seenAt}
+	if n.quiet && n.own.Kind == Left {
+		return items
+	}
+	own := d.Own
+	if own.Kind == Alive && own.By == own.Name && own.Name != n.set.Name && own.Addr.Addr().IsValid() && !own.Addr.Addr().IsUnspecified() {
+		n.claimed(now, &own, true)
+		if m := n.byName[own.Name]; m != nil && m.run == own.Run && m.key == own.Key {
+			n.hears(now, m, own.Clock)
+		}
+	} else if own.Name == n.set.Name {
+		n.aboutUs(now, &own)
+	}
+	theirs := make(map[uint64]MemberMark, len(d.Members))
+	for _, mark := range d.Members {
+		theirs[mark.Name] = mark
+		switch m := n.byHash[mark.Name]; {
+		case mark.Name == hash(n.set.Name):
+		case m == nil && mark.Gone:
+		case m == nil || m.claim.Incarnation < mark.Incarnation:
+			items.Wants = append(items.Wants, mark.Name)
+		case m.state == dead && !mark.Gone:
+			n.check(m) // somebody has contact with it: look again
+		}
+	}
+	room := answerLeast
+	if n.charge(now, 0); n.spent < float64(n.set.BytesPerSecond) {
+		room = answerBytes
+	}
+	add := func(c Claim) {
+		if size := c.bytes(); size <= room {
+			room -= size
+			items.Claims = append(items.Claims, c)
+		}
+	}
+	add(n.self(now))
+	// From a random place on, so that one who lacks much gets another part from each that it asks.
+	for i, start := 0, n.rng.IntN(len(n.members)+1); i < len(n.members); i++ {
+		m := n.members[(start+i)%len(n.members)]
+		mark, has := theirs[m.hash]
+		switch {
+		case m.name == own.Name:
+			if m.run != own.Run { // it is to know that its name was, or is, another's
+				add(m.claim)
+			}
+		case !has && m.state != left && m.state != dead, has && mark.Incarnation < m.claim.Incarnation,
+			has && m.state == left && !mark.Gone && mark.Incarnation == m.claim.Incarnation:
+			add(m.claim)
+		}
+		if m.state == alive && (m.name == own.Name && m.run != own.Run || mark.Gone) {
+			items.Alive = append(items.Alive, m.hash)
+		}
+	}
+	items.Rumours, items.Lacks = n.table.compare(now, n, d.Rumours, &room)
+	n.counts.Syncs++
+	n.charge(now, items.Bytes())
+	n.counts.SentBytes += int64(items.Bytes())
+	return items
+}
+
+// Exchanged takes what the asked one sent and gives what it wants in turn; nothing if that is nil.
+func (n *Node) Exchanged(now time.Duration, items *Items) *Items {
+	n.mind(now)
+	defer func() { n.plan(now) }()
+	n.counts.Syncs++
+	if n.quiet && n.own.Kind == Left {
+		return nil
+	}
+	who := ""
+	if len(items.Claims) > 0 && items.Claims[0].Kind == Alive {
+		who = items.Claims[0].Name // the asked one speaks of itself first
+	}
+	n.learn(now, who, items.SeenAt)
+	n.take(now, items)
+	if slices.Contains(items.Alive, hash(n.set.Name)) {
+		return nil // another run holds our name there: nothing that we say would count
+	}
+	if !n.joined {
+		n.joined, n.quiet = true, false
+		n.joinWait = n.set.ProbeEvery
+		n.host.Log("joined", who)
+		n.assert(now)
+		n.nextProbe = now + n.jitter(n.set.ProbeEvery)
+	}
+	if len(items.Claims) > 8 { // there was much to learn, and there may be more
+		n.nextSync = min(n.nextSync, now+n.set.ProbeEvery)
+	}
+	give := &Items{}
+	room := answerBytes
+	for _, h := range items.Wants {
+		if m := n.byHash[h]; m != nil && m.claim.bytes() <= room {
+			room -= m.claim.bytes()
+			give.Claims = append(give.Claims, m.claim)
+		}
+	}
+	give.Rumours = n.table.wanted(now, items.Lacks, &room)
+	if len(give.Claims)+len(give.Rumours) == 0 {
+		return nil
+	}
+	n.charge(now, give.Bytes())
+	n.counts.SentBytes += int64(give.Bytes())
+	return give
+}
+
+// Given takes what the one that asked sends at last.
+func (n *Node) Given(now time.Duration, items *Items) {
+	n.mind(now)
+	n.take(now, items)
+	n.plan(now)
+}
+
+// ExchangeFailed says that a comparison came to nothing. Membership does not hang on it.
+func (n *Node) ExchangeFailed(now time.Duration, with netip.AddrPort) { n.counts.SyncsFailed++ }
+
+func (n *Node) take(now time.Duration, items *Items) {
+	for i := range items.Claims {
+		n.claimed(now, &items.Claims[i], true)
+	}
+	for i := range items.Rumours {
+		n.rumour(now, &items.Rumours[i])
+	}
+	for _, h := range items.Alive {
+		if m := n.byHash[h]; m != nil && m.state == dead {
+			n.check(m)
+		}
+	}
+}
+
+// learn takes the address at which another sees us, where ours is not known. One may lie; most do not.
+func (n *Node) learn(now time.Duration, who string, seen netip.Addr) {
+	if !n.set.Learn || who == "" || !seen.IsValid() {
+		return
+	}
+	seen = seen.Unmap()
+	if n.seen[seen] == nil {
+		if len(n.seen) >= 8 {
+			return
+		}
+		n.seen[seen] = map[string]bool{}
+	}
+	if len(n.seen[seen]) < n.set.Members {
+		n.seen[seen][who] = true
+	}
+	best := n.own.Addr.Addr()
+	for a, by := range n.seen {
+		if len(by) > len(n.seen[best]) || len(by) == len(n.seen[best]) && best != n.own.Addr.Addr() && a.Less(best) {
+			best = a
+		}
+	}
+	if best != n.own.Addr.Addr() {
+		n.own.Addr = netip.AddrPortFrom(best, n.own.Addr.Port())
+		n.host.Log("address_learned", n.own.Addr.String())
+		if n.joined {
+			n.assert(now)
+		}
+	}
+}
