The module hears rumours and tells its own troubles

Need: what gossip gathers must reach the decisions without deciding anything.

Change: Gateway.Rumour takes how many others, weighed, find a server in trouble. From one on it spends a probe of the ration, lets the own first symptom count as the second, leaves the server an eighth of its turn among replicas while half of the group is in use without it, and has a failed list asked for at once. Host.Trouble tells the gateway's own symptoms and their end. Primaries, roles, positions, drains and set-aside servers are not touched by rumours.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 package choice
 
-// A Gateway decides for one gateway. Its host makes one with New and calls one method for each thing that
-// happens: List, Op, Answer, Report, ProbeAnswer, ClientGone, Timer, each with the span since the start.
+// A Gateway decides for one gateway. Its host makes one with New and calls one method for each thing that happens:
+// List, Op, Answer, Report, ProbeAnswer, ClientGone, Rumour, Timer, each with the span since the start.
 // Inside them it acts by calling the Host. That interface and the types handed over at start are in host.go.
 
 import (
@@ -28,6 +28,8 @@
 	answered     = 2      // probes that bring a server back that was set aside
 	probeShare   = 0.25   // probes for each op that came in, beyond those that the design asks for
 	briefShare   = 16     // part of the shortest latency target that counts as a brief wait
+	believed     = 1      // how many others, weighed, must find a server in trouble for it to matter
+	shyShare     = 8      // part of its turn that a server keeps of which they say so
 	longest      = 32     // brief waits for which a server is passed over at most
 	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
 	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
@@ -106,6 +108,8 @@
 	needs                int           // probes to be answered before it is used, at first or when set aside
 	unlisted             bool          // the list no longer names it, where that proves nothing
 	wait, shunnedTill    time.Duration // for which it was last passed over, 0 once it has acked; until when
+	trouble              Trouble       // that was last told of it
+	rumour               float64       // how many other gateways, weighed, say that it is in trouble
 }
 
 type group struct {
@@ -388,6 +392,9 @@
 			best, total, overdue = nil, 0, false
 		}
 		w := s.weight * g.ramp(now, s)
+		if s.shy() {
+			w /= shyShare
+		}
 		s.credit, total = s.credit+w, total+w
 		if best == nil || s.credit > best.credit {
 			best = s
@@ -402,7 +409,7 @@
 // furthest is the replica with room that is furthest ahead (way 1), or the warm one furthest behind (-1).
 func (g *Gateway) furthest(now time.Duration, o *op, way time.Duration) (best *server) {
 	for _, s := range o.group.members {
-		fits := way > 0 && g.room(now, s, o) != nil || way < 0 && s.usable() && g.ramp(now, s) >= 1
+		fits := way > 0 && g.room(now, s, o) != nil || way < 0 && s.usable() && !s.shy() && g.ramp(now, s) >= 1
 		if s != o.group.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
 			best = s
 		}
@@ -528,8 +535,12 @@
 	switch {
 	case result == Acked:
 		s.wait = 0
-	case result == ServerError && !home, result == ServerFull, result == NoConnection, result == Reset:
-		g.doubt(now, s, false) // a primary that fails some is still the only one for writes
+	case result == ServerError && !home:
+		g.doubt(now, s, Failing, false) // a primary that fails some is still the only one for writes
+	case result == ServerFull:
+		g.doubt(now, s, s.trouble, false) // has much to do, which is no trouble of its own
+	case result == NoConnection, result == Reset:
+		g.doubt(now, s, Unreachable, false)
 	}
 	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
 		return // after a pause of its own nobody knows how late an answer came
@@ -549,8 +560,11 @@
 		if s.limit == 1 {
 			*g.strain(s)++
 		}
-		s.limit *= cut
+		if s.limit *= cut; s.limit < cut*cut && result != ServerFull {
+			g.tell(s, Late)
+		}
 	} else if !late {
+		g.tell(s, NoTrouble)
 		*g.strain(s) = max(0, *g.strain(s)-relief)
 		s.limit = max(s.limit, min(1, s.limit/cut))
 	}
@@ -559,11 +573,12 @@
 // doubt passes a server over, twice as long for each trouble since it last acked. At a second in a row, or if
 // sure, it is set aside until it has answered probes: no primary that cannot be reached, as writes have no
 // other place, and at most half of a group, as who finds more in trouble is likely in trouble itself.
-func (g *Gateway) doubt(now time.Duration, s *server, sure bool) {
+func (g *Gateway) doubt(now time.Duration, s *server, why Trouble, sure bool) {
+	g.tell(s, why)
 	if now < s.shunnedTill {
 		return
 	}
-	sure = sure || s.wait > 0 && s != s.group.primary
+	sure = sure || (s.wait > 0 || s.rumour >= believed) && s != s.group.primary
 	s.wait = min(max(2*s.wait, g.brief/4), longest*g.brief)
 	s.shunnedTill = now + s.wait
 	aside := 1
@@ -580,6 +595,50 @@
 	}
 }
 
+// tell lets the host know what this gateway has seen of a server by itself, whenever that changes.
+func (g *Gateway) tell(s *server, t Trouble) {
+	if s.trouble != t {
+		s.trouble = t
+		g.host.Trouble(s.id, t)
+	}
+}
+
+// Rumour is called with how many other gateways, weighed by how far each is to be believed, say that a server
+// is in trouble. By itself it decides nothing: it spends a probe of the ration, lets the gateway's own first
+// symptom count as its second, leaves the server a smaller turn, and has a failed list asked for sooner.
+func (g *Gateway) Rumour(now time.Duration, id uint32, weight float64) {
+	s := g.servers[id]
+	if s == nil {
+		return
+	}
+	if weight >= believed && s.rumour < believed {
+		if g.askAt > 0 {
+			g.askAt = now
+		}
+		if g.probes && s.state == Ready && now >= s.nextProbe && g.probing >= 1 {
+			g.probing--
+			s.nextProbe = never
+			g.host.Probe(s.id)
+		}
+	}
+	s.rumour = weight
+}
+
+// shy tells whether a server gets a smaller turn for what others say: not where they say as much of so many that
+// less than half of the group is left that is in use.
+func (s *server) shy() bool {
+	if s.rumour < believed {
+		return false
+	}
+	rest := 0
+	for _, m := range s.group.members {
+		if m.usable() && m.rumour < s.rumour {
+			rest++
+		}
+	}
+	return 2*rest >= len(s.group.members)
+}
+
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
 	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
@@ -595,6 +654,9 @@
 			sum, longest = sum+wait, max(longest, wait)
 		}
 	}
+	if s.rumour >= believed {
+		sum *= 2 // others have found it silent, or something else wrong with it
+	}
 	return sum > 2*overdueAfter && longest > overdueAfter
 }
 
@@ -618,7 +680,7 @@
 	}
 	defer g.wake(now, s.group)
 	if result == NoConnection || result == Reset || result == TimedOut {
-		g.doubt(now, s, false)
+		g.doubt(now, s, Unreachable, false)
 	} else { // an error is an answer too: probes may fail at servers that serve
 		s.needs, s.heard, s.proved = max(0, s.needs-1), now, max(s.proved, now-took)
 	}
@@ -659,13 +721,14 @@
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
 	if s.unlisted = l.State == Gone && g.goneMayRun && s.state == Ready; s.unlisted {
-		g.doubt(now, s, true)
+		g.doubt(now, s, NoTrouble, true)
 		return
 	}
 	again := s.started != l.Started // it has started again: what was known of it holds no more
 	if again {
 		s.started, s.needs, s.limit = l.Started, g.firstNeeds, max(1, startLimit/g.gateways)
 		g.probing++ // its first
+		g.tell(s, NoTrouble)
 	}
 	s.state, s.kind, s.weight = l.State, l.Kind, cmp.Or(float64(l.Weight), 1)
 	if (again || s.state != Ready) && s.group.primary == s {
@@ -712,7 +775,7 @@
 				warm++
 			}
 			if s.silent(now) {
-				g.doubt(now, s, true)
+				g.doubt(now, s, Silence, true)
 			}
 			g.callBack(now, s)
 			if g.probes && s.state == Ready && now >= s.nextProbe && (g.steady || s.needs > 0 && g.probing >= 1) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -12,7 +12,7 @@
 const ms = time.Millisecond
 
 // diary is a Host that writes down what the gateway does.
-type diary struct{ lines []string }
+type diary struct{ lines, troubles []string }
 
 func (d *diary) add(f string, a ...any)                  { d.lines = append(d.lines, fmt.Sprintf(f, a...)) }
 func (d *diary) Send(op, server uint32, t time.Duration) { d.add("send %d to %d", op, server) }
@@ -27,6 +27,10 @@
 func (d *diary) Forget(server uint32)                    { d.add("forget %d", server) }
 func (d *diary) Log(line string)                         {}
 
+func (d *diary) Trouble(server uint32, t Trouble) {
+	d.troubles = append(d.troubles, fmt.Sprint(server, t))
+}
+
 // The op types of the tests, by number.
 const (
 	writeOnce = iota
@@ -509,7 +513,7 @@
 // against servers kept out by probes that fail while ops are served (capitol-assessor-later big-1).
 func TestProbesOfServersSetAsideAreRationedAndErrorsCount(t *testing.T) {
 	g, h := start(nil)
-	g.doubt(0, g.servers[2], true)
+	g.doubt(0, g.servers[2], NoTrouble, true)
 	g.probing = 0
 	g.Timer(50*ms, 0)
 	want(t, h) // no op has come in that could pay for a probe
@@ -580,3 +584,106 @@
 	g.Op(0, 3, anyRead, 0, 300*ms, 0, 0, true)
 	want(t, h, "send 1 to 2", "send 2 to 3", "busy 3")
 }
+
+// Guards against rumours that decide: however many say so, a server is used, the primary keeps its writes, nothing is set
+// aside, and a server that was set aside comes back by its own probes alone.
+func TestRumoursDecideNothingByThemselves(t *testing.T) {
+	g, h := start(nil)
+	g.probing = 0
+	for id := uint32(1); id <= 3; id++ {
+		g.Rumour(0, id, 100)
+	}
+	want(t, h) // no op has paid for a probe
+	do(g, 0, 1, writeOnce)
+	do(g, 0, 2, bounded)
+	do(g, 0, 3, bounded)
+	want(t, h, "send 1 to 1", "send 2 to 2", "send 3 to 3")
+	g.doubt(0, g.servers[2], Silence, true)
+	g.Rumour(0, 2, 0)
+	if g.servers[2].usable() || !g.servers[1].usable() || !g.servers[3].usable() {
+		t.Error("a rumour, or its end, changed who is in use")
+	}
+}
+
+func TestARumouredReplicaKeepsAPartOfItsTurn(t *testing.T) {
+	g, h := start(nil)
+	g.Rumour(0, 3, 1)
+	for id := uint32(1); id <= 27; id++ {
+		do(g, time.Duration(id)*ms, id, anyRead)
+		g.Answer(time.Duration(id)*ms, id, 0, g.ops[id].at.id, Acked, ms, true, Replica, time.Duration(id)*ms)
+	}
+	got := map[string]int{}
+	for _, l := range h.lines {
+		got[l[len(l)-4:]]++
+	}
+	if got["to 3"] != 3 || got["to 2"] != 24 {
+		t.Errorf("%v", got)
+	}
+	g.servers[2].needs = 1 // now it is in the half that must stay
+	if g.servers[3].shy() {
+		t.Error("a rumour touches the last half of a group")
+	}
+}
+
+func TestAFirstSymptomCountsAsTheSecondWhereOthersHaveIt(t *testing.T) {
+	for _, rumoured := range []bool{false, true} {
+		g, _ := start(nil)
+		if rumoured {
+			g.Rumour(0, 2, 1.5)
+			g.Rumour(0, 1, 1.5)
+		}
+		g.doubt(0, g.servers[2], Unreachable, false)
+		g.doubt(0, g.servers[1], Unreachable, false)
+		if g.servers[2].usable() == rumoured || !g.servers[1].usable() {
+			t.Errorf("rumoured %v: replica in use %v, primary %v", rumoured, g.servers[2].usable(), g.servers[1].usable())
+		}
+		g, _ = start(nil)
+		do(g, 0, 1, anyRead)
+		if rumoured {
+			g.Rumour(0, 2, 1.5)
+		}
+		s, usual := g.servers[2], g.types[anyRead].usual()
+		if early := s.silent(4 * usual); early != rumoured || !s.silent(7*usual) {
+			t.Errorf("rumoured %v: silent after four usual times %v", rumoured, early)
+		}
+	}
+}
+
+func TestARumourSpendsAProbeOfTheRationAndAsksForAFailedListAtOnce(t *testing.T) {
+	g, h := start(func(d *Deployment) { d.ListAsked, d.AskWithin = true, time.Hour })
+	g.probing = 1
+	g.Rumour(0, 2, 0.9)
+	want(t, h) // not enough of them say so
+	g.Rumour(0, 2, 1)
+	g.Rumour(0, 3, 1)
+	want(t, h, "probe 2")
+	g.List(0, ListFailed, nil)
+	g.List(0, ListFailed, nil)
+	g.List(0, ListFailed, nil)
+	g.Timer(5*ms, 0)
+	want(t, h)
+	g.Rumour(5*ms, 2, 0)
+	g.Rumour(5*ms, 2, 2)
+	g.Timer(5*ms, 0)
+	want(t, h, "watch")
+}
+
+// What is shared is the gateway's own: each symptom and its end, and nothing because others say so.
+func TestTroublesAreToldOnceAndEndWithAnAck(t *testing.T) {
+	g, h := start(nil)
+	g.Rumour(0, 2, 9)
+	g.Rumour(0, 3, 9)
+	do(g, 0, 1, anyRead)
+	g.Answer(ms, 1, 0, 2, NoConnection, ms, false, RoleUnknown, LongPast)
+	g.Answer(2*ms, 1, 1, 3, ServerError, ms, false, RoleUnknown, LongPast)
+	g.Answer(3*ms, 1, 2, 1, ServerFull, ms, false, RoleUnknown, LongPast)
+	for id := uint32(2); id < 5; id++ {
+		g.servers[2].needs, g.servers[2].shunnedTill, g.servers[2].limit = 0, 0, 1
+		o := &op{id: id, t: &g.types[anyRead], group: g.servers[2].group, at: g.servers[2], sends: 1, maybeAt: never, due: time.Hour}
+		g.ops[id], g.timedAt = o, time.Second
+		g.Answer(time.Second, id, 0, 2, Acked, 10*ms, true, Replica, 0)
+	}
+	if want := []string{"2 2", "3 3", "2 0"}; !slices.Equal(h.troubles, want) {
+		t.Errorf("told %q, want %q", h.troubles, want)
+	}
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -15,7 +15,8 @@
 	AskList()
 	WatchList()
 	CloseIdle(server uint32)
-	Forget(server uint32) // it is gone and nothing of it is out
+	Forget(server uint32)             // it is gone and nothing of it is out
+	Trouble(server uint32, t Trouble) // what the gateway has seen of it by itself has changed
 	Log(line string)
 }
 
@@ -147,6 +148,18 @@
 // Result is how a send or a probe ended.
 type Result uint8
 
+// Trouble is what a gateway has seen of a server by itself, never what others say of it.
+type Trouble uint8
+
+// The troubles. NoTrouble says that what was told before has ended.
+const (
+	NoTrouble Trouble = iota
+	Silence
+	Unreachable
+	Failing
+	Late
+)
+
 // The results. ServerFull, NoConnection, NotSent and Miss prove that nothing ran.
 const (
 	Acked Result = iota
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -178,7 +178,7 @@
 	c.spoke.Store(true)
 	now := c.front.clock.Now()
 	x := &exchange.Exchange{Statement: s, OpType: kind, Group: s.Group, Session: session(s.Key), Again: s.Again,
-		Due: now + min(s.Remaining, c.front.told.OpTypes[kind].Timeout), After: choice.LongPast, Done: make(chan struct{})}
+		Due: now + min(s.Remaining, c.front.told.OpTypes[kind].Timeout), Target: c.front.told.OpTypes[kind].Target, After: choice.LongPast, Done: make(chan struct{})}
 	if at, ok := c.front.clock.FromUnix(s.After); ok {
 		x.After = at
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,11 +31,21 @@
 	Forget(server uint32)
 }
 
+// Sharing passes on what this gateway sees of servers and takes what others see, by Dispatch.Rumour. No call may block
+// or call back.
+type Sharing interface {
+	Trouble(server uint32, t choice.Trouble)
+	Acked(server uint32, sentAt time.Duration)
+	Forget(server uint32)
+	Listed(addrs map[uint32]string) // servers that the list has named; Forget follows for those that go
+}
+
 // Dispatch is the host of one gateway's decision module.
 type Dispatch struct {
 	clock     exchange.Clock
 	servers   Servers
 	discovery Discovery
+	sharing   Sharing // or nil
 	counts    *counters.Set
 
 	mu      sync.Mutex // around every call of the module, and all below
@@ -181,6 +191,9 @@
 	now := d.now()
 	invariant.Check(x.Out, "a send ends once")
 	x.Out = false
+	if e.Result == choice.Acked && d.sharing != nil && e.Took <= x.Target {
+		d.sharing.Acked(server, now-e.Took)
+	}
 	if e.Result == choice.Acked && x.Outcome == exchange.Held {
 		x.Answer = e.Answer
 		d.finish(x, exchange.Acked)
@@ -205,6 +218,16 @@
 	}
 }
 
+// Share sets up sharing with other gateways. It is called before Start, or not at all.
+func (d *Dispatch) Share(s Sharing) { d.sharing = s }
+
+// Rumour hands over how many other gateways, weighed, say that a server is in trouble.
+func (d *Dispatch) Rumour(server uint32, weight float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gateway.Rumour(d.now(), server, weight)
+}
+
 // Listed hands over what discovery tells: addresses first, as the module may send at once, and under the mutex, as it may
 // forget a server that is listed again.
 func (d *Dispatch) Listed(scope choice.ListScope, listed []choice.Listed, addrs map[uint32]string) {
@@ -212,6 +235,9 @@
 	defer d.mu.Unlock()
 	d.servers.Locate(addrs)
 	d.gateway.List(d.now(), scope, listed)
+	if d.sharing != nil && scope != choice.ListFailed {
+		d.sharing.Listed(addrs)
+	}
 }
 
 // Send implements choice.Host, as do all methods below.
@@ -267,5 +293,16 @@
 func (d *Dispatch) Forget(server uint32) {
 	d.servers.Forget(server)
 	d.discovery.Forget(server)
+	if d.sharing != nil {
+		d.sharing.Forget(server)
+	}
 }
+
+// Trouble hands what the gateway has seen of a server to those who share it with others, if there are any.
+func (d *Dispatch) Trouble(server uint32, t choice.Trouble) {
+	if d.sharing != nil {
+		d.sharing.Trouble(server, t)
+	}
+}
+
 func (d *Dispatch) Log(line string) { slog.Info("decision", "what", line) }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,6 +35,7 @@
 	Session   uint64
 	Again     bool          // its client has tried before
 	Due       time.Duration // when its client leaves
+	Target    time.Duration // the latency target of its op type
 	After     time.Duration // the position to see, or choice.LongPast
 
 	Done       chan struct{} // closed at the end
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -126,5 +126,8 @@
 // Forget implements choice.Host: the bench keeps no names of its own.
 func (in *instance) Forget(uint32) {}
 
+// Trouble implements choice.Host: gateways on the bench share nothing.
+func (in *instance) Trouble(uint32, choice.Trouble) {}
+
 func (in *instance) CloseIdle(server uint32) { be.PutUint32(in.record(acCloseIdle)[3:], server) }
 func (in *instance) Log(line string)         { in.text(acLog, line) }
