Gossip on sockets: codec, keys, datagrams and streams, wired into the gateway

Need: the state machine had no carrier.

Change: internal/gossip/keys (authorities, certificates, PEM files), gossip/wire (deterministic CBOR, Ed25519 on each datagram, claim and rumour, an HMAC tag under the X25519 secret of the two instances in front of the signature), gossip/carrier (UDP read in batches under a budget, mutually proved streams, one goroutine that owns the node), gorsewell keys authority|issue|show|rotate; the gateway shares its troubles and hears rumours where the settings turn it on; SIGHUP reads keys again.

--- a/cmd/gorsewell/main.go
+++ b/cmd/gorsewell/main.go
@@ -81,7 +81,7 @@
 	for _, c := range []*cobra.Command{root, runs} {
 		c.Flags().StringVar(&path, "config", "", "YAML file of our own settings; else "+settingsVariable+" names it, else there are none")
 	}
-	root.AddCommand(runs, checks(), versions())
+	root.AddCommand(runs, checks(), keyCommands(), versions())
 	return root
 }
 
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -24,6 +25,8 @@
 	"gorsewell/internal/discovery"
 	"gorsewell/internal/dispatch"
 	"gorsewell/internal/exchange"
+	"gorsewell/internal/gossip/carrier"
+	"gorsewell/internal/gossip/keys"
 	"gorsewell/internal/serverside"
 )
 
@@ -84,14 +87,22 @@
 	return g, told, nil
 }
 
-// reload reads the file again at each SIGHUP and moves to its discovery. Nothing else of it can change while running.
-func reload(ctx context.Context, asked <-chan os.Signal, at string, lists *discovery.Client) error {
+// reload reads the file again at each SIGHUP and moves to its discovery. Nothing else of it can change while running; of our
+// own settings the gossip's keys can.
+func reload(ctx context.Context, asked <-chan os.Signal, at string, lists *discovery.Client, path string, gossip *carrier.Carrier) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-asked:
 		}
+		if gossip != nil {
+			if err := rekey(path, gossip); err != nil {
+				slog.Error("rekey_failed", "error", err)
+			} else {
+				slog.Info("rekeyed")
+			}
+		}
 		g, _, err := read(false)
 		switch {
 		case err != nil:
@@ -105,6 +116,39 @@
 	}
 }
 
+// rekey reads the gossip's keys again, from the files that the settings name now.
+func rekey(path string, gossip *carrier.Carrier) error {
+	settings, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	s := &settings.Gossip
+	ring, err := keys.Load(s.Certificate, s.Key, s.Authorities, time.Now())
+	if err != nil {
+		return err
+	}
+	return gossip.Rekey(ring)
+}
+
+// share makes the gossip, where the settings want it; nil otherwise.
+func share(settings *config.Settings, name string, clock exchange.Clock, desk *dispatch.Dispatch, names *discovery.Names) (*carrier.Carrier, error) {
+	s := &settings.Gossip
+	if !s.Enabled {
+		return nil, nil
+	}
+	ring, err := keys.Load(s.Certificate, s.Key, s.Authorities, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	gossip, err := carrier.New(*s, name, ring, clock, desk, names.ID)
+	if err != nil {
+		return nil, err
+	}
+	desk.Share(gossip)
+	slog.Info("gossip", "what", "listening", "addr", gossip.Addr().String())
+	return gossip, nil
+}
+
 // messageShare is the part of the memory that one message may take: values come longer than the protocol's page says.
 const messageShare = 64
 
@@ -112,6 +156,9 @@
 // that are being turned away.
 const spare = 32
 
+// gossipSockets are the gossip's own descriptors, beside the streams that others open.
+const gossipSockets = 6
+
 func run(path string, settings *config.Settings) error {
 	logTo(os.Stderr, settings.Log.Level.Level)
 	// Caught from here until the process ends: what follows a planned stop must not end it either.
@@ -151,6 +198,13 @@
 	defer finish()
 
 	desk := dispatch.New(clock, counts)
+	gossip, err := share(settings, g.Name, clock, desk, names)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
+	if gossip != nil {
+		sockets -= settings.Gossip.Limits.Streams + gossipSockets
+	}
 	servers := (sockets - spare) / 3
 	pool := serverside.New(work, clock, desk, counts, told, servers)
 	front := clientside.New(clock, desk, counts, told, sockets-spare-servers)
@@ -162,11 +216,17 @@
 	group.Go(func() error { return desk.Run(work) })
 	group.Go(func() error { return lists.Run(work) })
 	group.Go(pool.Wait)
-	group.Go(func() error { return reload(work, again, g.Discovery, lists) })
-	group.Go(func() error { return printCounters(work, counts) })
+	group.Go(func() error { return reload(work, again, g.Discovery, lists, path, gossip) })
+	group.Go(func() error { return printCounters(work, counts, gossip) })
+	if gossip != nil {
+		group.Go(func() error { return gossip.Run(work) })
+	}
 	err = front.Serve(stop, l)
 	finish()
 	err = errors.Join(err, group.Wait())
+	if gossip != nil {
+		slog.LogAttrs(context.Background(), slog.LevelInfo, "gossip_counters", gossip.Attrs()...)
+	}
 	slog.LogAttrs(context.Background(), slog.LevelInfo, "stopped", counts.Attrs()...)
 	return err
 }
@@ -187,7 +247,7 @@
 }
 
 // printCounters prints the counters whenever SIGUSR1 asks for them.
-func printCounters(ctx context.Context, counts *counters.Set) error {
+func printCounters(ctx context.Context, counts *counters.Set, gossip *carrier.Carrier) error {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
@@ -197,6 +257,9 @@
 			return nil
 		case <-asked:
 			slog.LogAttrs(ctx, slog.LevelInfo, "counters", counts.Attrs()...)
+			if gossip != nil {
+				slog.LogAttrs(ctx, slog.LevelInfo, "gossip_counters", gossip.Attrs()...)
+			}
 		}
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// ID is the id in the list of the server with a number; empty where there is none.
+func (n *Names) ID(server uint32) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers[server]
+}
+
 // Forget gives a server's number free.
 func (n *Names) Forget(server uint32) {
 	n.mu.Lock()
--- a/internal/emulator/gossips.go
+++ b/internal/emulator/gossips.go
@@ -113,7 +113,7 @@
 }
 
 // Datagram implements gossip.Host, as do the methods below.
-func (n *instance) Datagram(to netip.AddrPort, m *gossip.Message) {
+func (n *instance) Datagram(to netip.AddrPort, _ gossip.KeyID, m *gossip.Message) {
 	n.charge(m.Bytes())
 	n.carry(to, m)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,8 +19,8 @@
 
 // Host is all that a node can do to the world. Calls return at once and never call back.
 type Host interface {
-	// Datagram signs and sends a message. What it holds is not changed afterwards.
-	Datagram(to netip.AddrPort, m *Message)
+	// Datagram signs a message and sends it to the instance that holds a key. What it holds is not changed afterwards.
+	Datagram(to netip.AddrPort, key KeyID, m *Message)
 	// Exchange asks the instance at an address to compare tables. Exchanged or ExchangeFailed follows.
 	Exchange(with netip.AddrPort, d *Digest)
 	// Wake wants Timer to be called at a time; a later call takes an earlier one's place.
@@ -245,6 +245,22 @@
 	}
 }
 
+// Reseed tells where seeds are now.
+func (n *Node) Reseed(now time.Duration, seeds []netip.AddrPort) {
+	n.set.Seeds = seeds
+	if !n.joined {
+		n.sooner(n.joinAt)
+	}
+}
+
+// Weight is how many others, weighed, now say that a server is in trouble.
+func (n *Node) Weight(now time.Duration, server uint64) float64 {
+	if s := n.rumoured[server]; s != nil {
+		return s.weight
+	}
+	return 0
+}
+
 // Servers tells how many servers the module knows of: whoever finds most of them in trouble keeps that to itself.
 func (n *Node) Servers(now time.Duration, count int) { n.servers = count }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -102,21 +102,21 @@
 
 // What items take in a datagram at most, in bytes. The codec's test holds these to account.
 const (
-	datagramBytes = 28 + 170 // headers of IP and UDP, ours, both proofs, and the message around its items
-	claimBytes    = 340      // with the certificate of who signed it
-	accusedBytes  = 180
-	rumourBytes   = 150
+	datagramBytes = 28 + 140 // headers of IP and UDP, ours, both proofs, and the message around its items
+	claimBytes    = 245      // with the certificate of who signed it
+	accusedBytes  = 120
+	rumourBytes   = 125
 	streamBytes   = 400 // a stream's own packets and both sides' proofs
 )
 
 func (c *Claim) bytes() int {
 	if c.Kind == Accused {
-		return accusedBytes + len(c.Name) + len(c.By)
+		return accusedBytes + len(c.Name)
 	}
 	return claimBytes + 2*len(c.Name)
 }
 
-func (r *Rumour) bytes() int { return rumourBytes + len(r.Observer) }
+func (r *Rumour) bytes() int { return rumourBytes }
 
 // Bytes is what the message takes on the wire at most, headers of IP and UDP included.
 func (m *Message) Bytes() int {
--- a/internal/gossip/sim_test.go
+++ b/internal/gossip/sim_test.go
@@ -137,7 +137,7 @@
 	return nil
 }
 
-func (h *inhabitant) Datagram(to netip.AddrPort, m *Message) {
+func (h *inhabitant) Datagram(to netip.AddrPort, _ KeyID, m *Message) {
 	l, x := h.l, h.l.by(to)
 	h.counter++
 	h.bytes += m.Bytes()
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -115,7 +115,7 @@
 	n.charge(now, msg.Bytes())
 	n.counts.Sent++
 	n.counts.SentBytes += int64(msg.Bytes())
-	n.host.Datagram(m.addr, msg)
+	n.host.Datagram(m.addr, m.key, msg)
 }
 
 // charge takes bytes from the budget, which time fills up.
