Experiments in the emulator and load on sockets, by gorsewellctl

Gossip: word on members goes before rumours in a datagram; what an observer may say in a while goes by its credit; a run that does not know how far the one before it had counted is told so; a new run of a dead member counts as there.

--- a/internal/emulator/loop.go
+++ b/internal/emulator/loop.go
@@ -116,3 +116,23 @@
 	variance := math.Log1p(deviation * deviation)
 	return math.Exp(math.Sqrt(2*variance)*math.Erfinv(2*u-1) - variance/2)
 }
+
+// Draw is what an op asks of a core of speed 1, and one send of it, as the same op of the same seed would in a run. Stand-ins
+// on sockets draw it too, so that a day on sockets can be laid beside one in virtual time.
+func (o *OpType) Draw(seed, op uint64, try, send int) time.Duration {
+	u := draw(seed, 0x3043, op)
+	work := float64(o.Work) * lognormal(u, o.Vary)
+	if o.Exp {
+		work = float64(o.Work) * exponential(u)
+	}
+	return time.Duration(work * lognormal(draw(seed, 0xa77e, op, uint64(try), uint64(send)), o.Noise))
+}
+
+// Chance is a number from 0 to 1 that depends on its arguments alone.
+func Chance(seed uint64, parts ...uint64) float64 { return draw(seed, parts...) }
+
+// Exponential turns a chance into a number of mean 1.
+func Exponential(u float64) float64 { return exponential(u) }
+
+// Lognormal turns a chance into a number of mean 1 and the given standard deviation.
+func Lognormal(u, deviation float64) float64 { return lognormal(u, deviation) }
--- a/internal/emulator/valid.go
+++ b/internal/emulator/valid.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"gorsewell/internal/yamlfile"
@@ -110,3 +111,47 @@
 	w.Valid(f, "world")
 	return f.Err()
 }
+
+// ValidFaults tells what does not make sense in faults that stand in a file under a key.
+func ValidFaults(f *yamlfile.File, key string, faults []Fault, w *World) {
+	names, _ := FaultKinds()
+	for i, x := range faults {
+		at := fmt.Sprintf("%s[%d]", key, i)
+		if kinds[x.Kind] == nil {
+			f.Wrong(at+".kind", "%q is no fault; %s are", x.Kind, strings.Join(names, ", "))
+			continue
+		}
+		if x.Share < 0 || x.Share > 1 {
+			f.Wrong(at+".share", "%v is no share; 0 to 1", x.Share)
+		}
+		if x.Count < 0 || x.Size < 0 || x.For < 0 || x.Back < 0 || x.Every < 0 {
+			f.Wrong(at, "count, size, for, back and every are 0 or more")
+		}
+		if x.At > w.Length {
+			f.Wrong(at+".at", "%v lies after the day's end at %v", x.At, w.Length)
+		}
+		if !slices.Contains([]string{"", "all", "primaries", "replicas"}, x.Of) {
+			f.Wrong(at+".of", "%q is none of all, primaries and replicas", x.Of)
+		}
+		if x.Zone < 0 || x.Zone > w.Zones {
+			f.Wrong(at+".zone", "%d is none of the %d zones, counted from 1", x.Zone, w.Zones)
+		}
+		if x.Group < 0 || x.Group > w.Servers.Groups {
+			f.Wrong(at+".group", "%d is none of the %d groups, counted from 1", x.Group, w.Servers.Groups)
+		}
+		if x.Every > 0 && x.Every < 100*time.Millisecond {
+			f.Wrong(at+".every", "%v is less than 100ms", x.Every)
+		}
+		ways := map[string][]string{"liar": append(slices.Clone(Lies), "", "mixed"), "one_sided": {"", "answers", "sends"}, "partition": {"", "one_way"}}[x.Kind]
+		if ways == nil {
+			ways = []string{""}
+		}
+		if !slices.Contains(ways, x.How) {
+			f.Wrong(at+".how", "%q is no variant of %s", x.How, x.Kind)
+		}
+		shares := map[string]bool{"error": true, "probe_fail": true, "neighbour": true, "one_sided": true, "partition": true, "network": true, "deploy": true}
+		if shares[x.Kind] && x.Size > 1 {
+			f.Wrong(at+".size", "%v is no share; 0 to 1", x.Size)
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/chart.go
@@ -0,0 +1,234 @@
+package experiment
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// colours are told apart by people who see few of them, too.
+var colours = []color.Color{
+	color.RGBA{0x00, 0x72, 0xb2, 0xff}, color.RGBA{0xd5, 0x5e, 0x00, 0xff}, color.RGBA{0x00, 0x9e, 0x73, 0xff}, color.RGBA{0xcc, 0x79, 0xa7, 0xff},
+	color.RGBA{0x56, 0xb4, 0xe9, 0xff}, color.RGBA{0xe6, 0x9f, 0x00, 0xff}, color.RGBA{0x00, 0x00, 0x00, 0xff}, color.RGBA{0x99, 0x99, 0x99, 0xff},
+}
+
+func colour(i int) color.Color { return colours[i%len(colours)] }
+
+// draw draws one chart, as SVG.
+func (r *Result) draw(c *Chart, dir string) error {
+	arms := c.Arms
+	if len(arms) == 0 {
+		arms = r.Order
+	}
+	metric := c.Metric
+	if metric == "" {
+		metric = "service"
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.Title, c.X, c.Y
+	p.Title.Padding, p.X.Padding, p.Y.Padding = vg.Points(8), vg.Points(4), vg.Points(4)
+	p.Legend.Top, p.Legend.XOffs, p.Legend.YOffs = true, vg.Points(-6), vg.Points(-4)
+	p.Legend.Padding = vg.Points(2)
+	if p.Y.Label.Text == "" {
+		p.Y.Label.Text = metric
+	}
+	width, height := 16*vg.Centimeter, 9*vg.Centimeter
+	var err error
+	switch c.Kind {
+	case "bars":
+		width = max(width, vg.Length(len(arms))*2.2*vg.Centimeter)
+		err = r.bars(p, arms, metric)
+	case "line":
+		err = r.line(p, arms, metric)
+	default:
+		err = r.time(p, arms)
+	}
+	if err != nil {
+		return err
+	}
+	return p.Save(width, height, filepath.Join(dir, c.Name+".svg"))
+}
+
+// spread are points with their intervals.
+type spread struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
+func (r *Result) label(arm string) string {
+	if r.file != nil {
+		return r.file.Arm(arm).Label
+	}
+	return arm
+}
+
+// bars draws a metric by arm, each with its interval. The axis begins where differences can be seen, and says so.
+func (r *Result) bars(p *plot.Plot, arms []string, metric string) error {
+	var names []string
+	s := spread{}
+	low, high := math.Inf(1), math.Inf(-1)
+	for i, arm := range arms {
+		f, ok := r.Arms[arm][metric]
+		if !ok {
+			return fmt.Errorf("arm %s has no %s", arm, metric)
+		}
+		names = append(names, r.label(arm))
+		s.XYs = append(s.XYs, plotter.XY{X: float64(i), Y: f.Mean})
+		s.YErrors = append(s.YErrors, struct{ Low, High float64 }{f.Mean - f.Low, f.High - f.Mean})
+		low, high = min(low, f.Low), max(high, f.High)
+	}
+	from := 0.0
+	if low > 0 && low > 0.6*high {
+		from = low - 0.35*(high-low+0.002*high)
+		p.Y.Label.Text += " (axis does not begin at 0)"
+	}
+	for i, xy := range s.XYs {
+		box, err := plotter.NewPolygon(plotter.XYs{{X: xy.X - 0.32, Y: from}, {X: xy.X + 0.32, Y: from}, {X: xy.X + 0.32, Y: xy.Y}, {X: xy.X - 0.32, Y: xy.Y}})
+		if err != nil {
+			return err
+		}
+		box.Color, box.LineStyle.Width = colour(i), 0
+		p.Add(box)
+	}
+	bars, err := plotter.NewYErrorBars(s)
+	if err != nil {
+		return err
+	}
+	bars.LineStyle.Width, bars.CapWidth = vg.Points(1.2), vg.Points(8)
+	values := make([]string, len(arms))
+	for i := range s.XYs {
+		values[i] = strconv.FormatFloat(s.XYs[i].Y, 'f', decimals(metric), 64)
+		s.XYs[i].Y += s.YErrors[i].High + 0.02*(high-from)
+	}
+	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: s.XYs, Labels: values})
+	if err != nil {
+		return err
+	}
+	for i := range labels.TextStyle {
+		labels.TextStyle[i].XAlign = draw.XCenter
+	}
+	p.Add(bars, labels)
+	p.Y.Min, p.Y.Max = from, high+0.12*(high-from)
+	p.X.Min, p.X.Max = -0.6, float64(len(arms))-0.4
+	p.NominalX(names...)
+	if len(arms) > 6 {
+		p.X.Tick.Label.Rotation = 0.5
+		p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = draw.XRight, draw.YTop
+	}
+	return nil
+}
+
+// line draws a metric over the numbers that the arms' labels are. Arms whose names begin alike, up to the last dash, are
+// one line.
+func (r *Result) line(p *plot.Plot, arms []string, metric string) error {
+	lines := map[string]*spread{}
+	var names []string
+	for _, arm := range arms {
+		f, ok := r.Arms[arm][metric]
+		x, err := strconv.ParseFloat(r.label(arm), 64)
+		if !ok || err != nil {
+			return fmt.Errorf("arm %s: %s over %q", arm, metric, r.label(arm))
+		}
+		name := arm
+		for i := len(arm) - 1; i > 0; i-- {
+			if arm[i] == '-' {
+				name = arm[:i]
+				break
+			}
+		}
+		if lines[name] == nil {
+			lines[name] = &spread{}
+			names = append(names, name)
+		}
+		lines[name].XYs = append(lines[name].XYs, plotter.XY{X: x, Y: f.Mean})
+		lines[name].YErrors = append(lines[name].YErrors, struct{ Low, High float64 }{f.Mean - f.Low, f.High - f.Mean})
+	}
+	for i, name := range names {
+		s := lines[name]
+		l, points, err := plotter.NewLinePoints(s.XYs)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width, points.Color, points.Shape = colour(i), vg.Points(1.5), colour(i), draw.CircleGlyph{}
+		bars, err := plotter.NewYErrorBars(*s)
+		if err != nil {
+			return err
+		}
+		bars.Color = colour(i)
+		p.Add(l, points, bars)
+		p.Legend.Add(name, l, points)
+	}
+	p.Y.Min = min(0, p.Y.Min)
+	p.Y.Max *= 1.15
+	p.Add(plotter.NewGrid())
+	return nil
+}
+
+// time draws service over the day, the mean of the seeds, in windows of a few seconds, with the faults' times marked.
+func (r *Result) time(p *plot.Plot, arms []string) error {
+	p.X.Label.Text = "seconds since the first op"
+	if p.Y.Label.Text == "" || p.Y.Label.Text == "service" {
+		p.Y.Label.Text = "service"
+	}
+	low := 1.0
+	seconds := 0
+	for i, arm := range arms {
+		runs := r.runs[r.armIndex(arm)]
+		if len(runs) == 0 {
+			return fmt.Errorf("arm %s: its runs are not kept", arm)
+		}
+		var xys plotter.XYs
+		seconds = max(seconds, len(runs[0].Windows))
+		wide := max(1, len(runs[0].Windows)/60)
+		for at := 0; at < len(runs[0].Windows); at += wide {
+			value, earned := 0.0, 0.0
+			for _, run := range runs {
+				for _, w := range run.Windows[at:min(at+wide, len(run.Windows))] {
+					value, earned = value+w.Value, earned+w.Earned
+				}
+			}
+			if value > 0 {
+				xys = append(xys, plotter.XY{X: float64(at) + float64(wide)/2, Y: earned / value})
+				low = min(low, earned/value)
+			}
+		}
+		l, err := plotter.NewLine(xys)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = colour(i), vg.Points(1.6)
+		p.Add(l)
+		p.Legend.Add(r.label(arm), l)
+	}
+	p.Legend.Top, p.Legend.Left = false, false
+	p.Legend.YOffs = vg.Points(6)
+	from := math.Floor(low*10-0.5) / 10
+	p.Y.Min, p.Y.Max, p.X.Min, p.X.Max = max(0, from), 1.005, 0, float64(seconds)
+	var marks []float64
+	if r.file != nil {
+		for _, f := range r.file.Arm(arms[0]).Faults {
+			for _, at := range []float64{f.At.Seconds(), (f.At + f.For).Seconds()} {
+				if at > 0 && at < float64(seconds) && !slices.Contains(marks, at) {
+					marks = append(marks, at)
+				}
+			}
+		}
+	}
+	for _, at := range marks {
+		l, err := plotter.NewLine(plotter.XYs{{X: at, Y: p.Y.Min}, {X: at, Y: p.Y.Max}})
+		if err != nil {
+			return err
+		}
+		l.Color, l.Dashes = color.Gray{0x90}, []vg.Length{vg.Points(3), vg.Points(3)}
+		p.Add(l)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,135 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// JSON is the result as one object.
+func (r *Result) JSON() []byte {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		panic(err)
+	}
+	return append(text, '\n')
+}
+
+// mainMetrics are those that tables show; the rest is in the JSON.
+func (r *Result) mainMetrics() []string {
+	names := []string{"service", "worst10", "worst_type", "sends_per_op", "busy_share", "probes_per_op", "rules_broken"}
+	for _, m := range []string{"gossip_bytes", "gossip_worst", "gossip_false_deaths"} {
+		for _, arm := range r.Order {
+			if _, ok := r.Arms[arm][m]; ok {
+				names = append(names, m)
+				break
+			}
+		}
+	}
+	return names
+}
+
+// Table is the result as Markdown: arms by metrics with their intervals, and what was expected.
+func (r *Result) Table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %s\n\n", r.Name)
+	if r.file.About != "" {
+		fmt.Fprintf(&b, "%s\n\n", strings.TrimSpace(r.file.About))
+	}
+	w := &r.file.World
+	fmt.Fprintf(&b, "Emulated: %d gateways, %d groups of %d servers, %v, seeds %d to %d. Means over the seeds; the interval holds 95 of 100\n"+
+		"such means, by bootstrap.\n\n", w.Gateways.Count, w.Servers.Groups, w.Servers.Members, w.Length, r.Seeds[0], r.Seeds[len(r.Seeds)-1])
+	metrics := r.mainMetrics()
+	fmt.Fprintf(&b, "| arm | %s |\n| --- |%s\n", strings.Join(metrics, " | "), strings.Repeat(" --- |", len(metrics)))
+	for _, arm := range r.Order {
+		fmt.Fprintf(&b, "| %s |", r.file.Arm(arm).Label)
+		for _, m := range metrics {
+			if f, ok := r.Arms[arm][m]; ok {
+				fmt.Fprintf(&b, " %s |", f.text(decimals(m)))
+			} else {
+				b.WriteString(" - |")
+			}
+		}
+		b.WriteByte('\n')
+	}
+	if len(r.Expect) > 0 {
+		b.WriteString("\n| expected | value | interval | bound | holds |\n| --- | --- | --- | --- | --- |\n")
+		for _, o := range r.Expect {
+			holds := "yes"
+			if !o.Holds {
+				holds = "**no**"
+			}
+			fmt.Fprintf(&b, "| %s | %.4g | %.4g to %.4g | %s | %s |\n", o.Name, o.Value, o.Low, o.High, o.Bound, holds)
+		}
+	}
+	for i, s := range r.Stories {
+		if i == 0 {
+			b.WriteString("\nRules were broken:\n\n")
+		}
+		fmt.Fprintf(&b, "- rule %d after %v, gateway %d, op %d (%s): %s\n", s.Rule, s.At, s.Gateway, s.Op, s.OpType, s.What)
+	}
+	return b.String()
+}
+
+// text is a figure with its interval.
+func (f Figure) text(decimals int) string {
+	if f.Low == f.High {
+		return fmt.Sprintf("%.*f", decimals, f.Mean)
+	}
+	return fmt.Sprintf("%.*f (%.*f to %.*f)", decimals, f.Mean, decimals, f.Low, decimals, f.High)
+}
+
+// write keeps the result in a folder: the object, the table, the charts.
+func (r *Result) write(dir string) error {
+	if err := replace(filepath.Join(dir, "result.json"), r.JSON()); err != nil {
+		return err
+	}
+	if err := replace(filepath.Join(dir, "README.md"), []byte(r.Table()+r.pictures())); err != nil {
+		return err
+	}
+	for i := range r.file.Charts {
+		if err := r.draw(&r.file.Charts[i], dir); err != nil {
+			return fmt.Errorf("chart %s: %w", r.file.Charts[i].Name, err)
+		}
+	}
+	return nil
+}
+
+func (r *Result) pictures() string {
+	var b strings.Builder
+	for _, c := range r.file.Charts {
+		fmt.Fprintf(&b, "\n![%s](%s.svg)\n", c.Title, c.Name)
+	}
+	return b.String()
+}
+
+// Open reads a result that a folder keeps, with its runs.
+func Open(dir string) (*Result, error) {
+	text, err := os.ReadFile(filepath.Join(dir, "result.json"))
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", dir, err)
+	}
+	for _, arm := range r.Order {
+		var runs []*Run
+		for _, seed := range r.Seeds {
+			run := &Run{}
+			text, err := os.ReadFile(filepath.Join(dir, "runs", fmt.Sprintf("%s-%d.json", arm, seed)))
+			if err == nil {
+				err = json.Unmarshal(text, run)
+			}
+			if err != nil { // results can be kept without their runs, which are many
+				runs = nil
+				break
+			}
+			runs = append(runs, run)
+		}
+		r.runs = append(r.runs, runs)
+	}
+	return r, nil
+}
--- a/internal/gossip/carrier/carrier.go
+++ b/internal/gossip/carrier/carrier.go
@@ -41,6 +41,7 @@
 	udp      *net.UDPConn
 	tcp      *net.TCPListener
 	node     *gossip.Node // owned by Run
+	run      uint64
 	events   chan func()
 	ended    chan struct{} // closed when the owner has ended
 	poked    chan struct{}
@@ -91,17 +92,11 @@
 	if err != nil {
 		return nil, err
 	}
-	udp, err := net.ListenUDP("udp", addr)
+	udp, tcp, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	bound := udp.LocalAddr().(*net.UDPAddr)
-	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: addr.IP, Port: bound.Port, Zone: addr.Zone})
-	if err != nil {
-		udp.Close()
-		return nil, err
-	}
-	own := bound.AddrPort()
+	own := udp.LocalAddr().(*net.UDPAddr).AddrPort()
 	own = netip.AddrPortFrom(own.Addr().Unmap(), own.Port())
 	if set.Advertise != "" {
 		a, err := net.ResolveUDPAddr("udp", set.Advertise)
@@ -115,6 +110,7 @@
 		hashes: map[uint32]uint64{}, servers: map[uint64]uint32{}, troubles: map[uint32]choice.Trouble{}, acks: map[uint32]time.Duration{}}
 	c.rumoured.Store(&map[uint32]struct{}{})
 	run := rand.Uint64()
+	c.run = run
 	c.book = wire.NewBook(ring, set.Cluster, run, set.Limits.Members, time.Now)
 	c.certUntil = time.Unix(ring.Certificate.NotAfter, 0)
 	l := &set.Limits
@@ -126,6 +122,24 @@
 	return c, nil
 }
 
+// listen opens one port for datagrams and streams. Where any port will do, one is looked for that is free for both.
+func listen(addr *net.UDPAddr) (udp *net.UDPConn, tcp *net.TCPListener, err error) {
+	for range 20 {
+		if udp, err = net.ListenUDP("udp", addr); err != nil {
+			return nil, nil, err
+		}
+		port := udp.LocalAddr().(*net.UDPAddr).Port
+		if tcp, err = net.ListenTCP("tcp", &net.TCPAddr{IP: addr.IP, Port: port, Zone: addr.Zone}); err == nil {
+			return udp, tcp, nil
+		}
+		udp.Close()
+		if addr.Port != 0 {
+			break
+		}
+	}
+	return nil, nil, err
+}
+
 // Addr is where the carrier listens.
 func (c *Carrier) Addr() netip.AddrPort { return c.udp.LocalAddr().(*net.UDPAddr).AddrPort() }
 
@@ -458,6 +472,15 @@
 	}
 }
 
+// Peers lists the members as the node holds them now; nothing if it is too busy to say.
+func (c *Carrier) Peers() []gossip.Peer {
+	peers, _ := ask(c, c.node.Peers)
+	return peers
+}
+
+// RunNumber is drawn at the start of this instance; all that it signs bears it.
+func (c *Carrier) RunNumber() uint64 { return c.run }
+
 // Attrs gives the counters for a log line: how members stand, what the node has counted, what was dropped before it.
 func (c *Carrier) Attrs() (all []slog.Attr) {
 	select {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -330,6 +330,7 @@
 // Peer is a member as this instance holds it.
 type Peer struct {
 	Name     string
+	Key      KeyID
 	Addr     netip.AddrPort
 	Standing Standing
 	Credit   float64 // of what it says about servers, 0 to 1
@@ -339,7 +340,7 @@
 func (n *Node) Peers() []Peer {
 	all := make([]Peer, len(n.members))
 	for i, m := range n.members {
-		all[i] = Peer{m.name, m.addr, Standing(m.state), m.credit(n.timedAt)}
+		all[i] = Peer{m.name, m.key, m.addr, Standing(m.state), m.credit(n.timedAt)}
 	}
 	return all
 }
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -35,6 +35,7 @@
 	checking bool          // it stands in checks
 	deadAt   time.Duration // when a dead one is tried again
 	revived  time.Duration // when it was last told that it had been held dead
+	toldAt   time.Duration // when a run that is not the one held was last told so
 
 	suspectTill time.Duration
 	accusedBy   []accuser
@@ -107,7 +108,12 @@
 			n.counts.Strange++
 			return
 		} else if m.run != d.Run {
+			// Either an old datagram, or a new run that does not know how far the one before it had counted.
 			n.counts.StaleRun++
+			if m.toldAt == 0 || now-m.toldAt >= n.set.ProbeEvery {
+				m.toldAt = now
+				n.send(now, m, &Message{Kind: Tell, Claims: []Claim{m.claim}})
+			}
 			return
 		}
 	}
@@ -227,6 +233,10 @@
 		// Another run has other numbers and another clock, and what the earlier one said ends with it.
 		m.run, m.seen, m.clocked, m.knowsUs = c.Run, window{}, false, false
 		n.table.end(n, now, m)
+		if m.state == dead || m.state == suspect { // that was the run before; whether this one is there will show
+			m.state, m.since, m.failed = alive, now, 0
+			n.check(m)
+		}
 	}
 	if n.byKey[m.key] == m {
 		delete(n.byKey, m.key)
--- a/internal/gossip/rumour.go
+++ b/internal/gossip/rumour.go
@@ -49,6 +49,7 @@
 	fewest      = 4   // servers of which one may always find all in trouble
 	lowCredit   = 0.1 // whose word is not passed on any more
 	hardly      = 0.05
+	leastPace   = 4 // rumours that anybody may make in a rumour's life
 	holdOff     = 4 // part of a probe round for which a symptom must last to be told
 )
 
@@ -102,7 +103,7 @@
 			had = e.Symptom != Well
 		}
 	}
-	if !m.paces(now, n.set.RumoursPerObserver, n.set.RumourLife) {
+	if !m.paces(now, max(leastPace, float64(n.set.RumoursPerObserver)*m.credit(now)), n.set.RumourLife) {
 		n.counts.RumoursDropped++
 		return
 	}
@@ -129,12 +130,12 @@
 	n.settle(now, r.Server)
 }
 
-// paces tells whether an observer may say one thing more: as many at once as its share of the table, and as many again in
-// the time that a rumour lives.
-func (m *member) paces(now time.Duration, share int, life time.Duration) bool {
-	m.said = max(0, m.said-float64(now-m.saidAt)/float64(life)*float64(share))
+// paces tells whether an observer may say one thing more: as many at once as its credit leaves of its share of the table, and
+// as many again in the time that a rumour lives. So liars soon take little of what all may send.
+func (m *member) paces(now time.Duration, share float64, life time.Duration) bool {
+	m.said = max(0, m.said-float64(now-m.saidAt)/float64(life)*share)
 	m.saidAt = now
-	if m.said+1 > float64(share) {
+	if m.said+1 > share {
 		return false
 	}
 	m.said++
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -83,29 +83,40 @@
 		return cmp.Or(cmp.Compare(a.told, b.told), cmp.Compare(b.at, a.at))
 	})
 	room := n.set.Datagram + 28 - msg.Bytes()
+	n.fill(msg, to, &room, room/2, func(i *item) bool { return i.rumour == nil }, now) // members first: rumours hang on them
+	n.fill(msg, to, &room, room, func(i *item) bool { return i.rumour != nil }, now)
+	n.news = slices.DeleteFunc(n.news, (*item).done)
+	return msg
+}
+
+// fill puts news of one kind into a message, as far as its part of the room goes.
+func (n *Node) fill(msg *Message, to *member, room *int, part int, kind func(*item) bool, now time.Duration) {
 	for _, i := range n.news {
+		if !kind(i) {
+			continue
+		}
 		switch {
 		case i.rumour != nil:
-			if size := i.rumour.bytes(); size <= room {
-				room -= size
+			if size := i.rumour.bytes(); size <= part {
+				part -= size
+				*room -= size
 				i.told++
 				msg.Rumours = append(msg.Rumours, Told{i.rumour.Rumour, i.rumour.age(now)})
 			}
 		case i.about == to.name && i.claim.Kind != Accused:
 			i.told++ // it knows that best
 		default:
-			if size := i.claim.bytes(); size <= room {
-				room -= size
+			if size := i.claim.bytes(); size <= part {
+				part -= size
+				*room -= size
 				i.told++
 				msg.Claims = append(msg.Claims, i.claim)
 			}
 		}
-		if room < accusedBytes {
-			break
+		if part < accusedBytes {
+			return
 		}
 	}
-	n.news = slices.DeleteFunc(n.news, (*item).done)
-	return msg
 }
 
 // send hands a datagram to the host and charges it to the byte budget. Probes and answers are never put off: they are
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -16,7 +16,7 @@
 
 // mark stands for the newest claim of a member.
 func (m *member) mark() Mark {
-	return Mark(m.hash ^ uint64(m.claim.Incarnation)*0x9e3779b97f4a7c15>>7 ^ uint64(m.claim.Kind)<<13)
+	return Mark(m.hash ^ m.claim.Run ^ uint64(m.claim.Incarnation)*0x9e3779b97f4a7c15>>7 ^ uint64(m.claim.Kind)<<13)
 }
 
 // mark stands for a rumour.
@@ -123,6 +123,12 @@
 		}
 	}
 	add(n.self(now))
+	if m := n.byName[own.Name]; m != nil && m.run != own.Run { // it is to know that its name was, or is, another's
+		add(m.claim)
+		if m.state == alive {
+			items.Alive = append(items.Alive, nameMark(m.hash))
+		}
+	}
 	// From a random place on, so that one who lacks much gets another part from each that it asks.
 	for i, start := 0, n.rng.IntN(len(n.members)+1); i < len(n.members); i++ {
 		m := n.members[(start+i)%len(n.members)]
@@ -130,12 +136,6 @@
 		delete(theirs, m.mark())
 		switch {
 		case m.name == own.Name:
-			if m.run != own.Run { // it is to know that its name was, or is, another's
-				add(m.claim)
-				if m.state == alive {
-					items.Alive = append(items.Alive, nameMark(m.hash))
-				}
-			}
 		case m.state == alive && missed[nameMark(m.hash)]:
 			items.Alive = append(items.Alive, nameMark(m.hash))
 		case m.state == dead && !missed[nameMark(m.hash)] && has:
--- /dev/null
+++ b/internal/loopback/rig.go
@@ -0,0 +1,549 @@
+package loopback
+
+import (
+	"bufio"
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	mathrand "math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gorsewell/internal/emulator"
+	"gorsewell/internal/gossip/keys"
+	"gorsewell/internal/pgwire"
+)
+
+// Day is what is played on sockets.
+type Day struct {
+	World   emulator.World
+	Faults  []emulator.Fault
+	Gossip  bool
+	Seed    uint64
+	Program string        // the gateway's binary
+	Warm    time.Duration // that gateways run before the first op
+	Keep    string        // a folder for the gateways' logs; empty: none are kept
+}
+
+// rig is a day under way.
+type rig struct {
+	Day
+	dir       string
+	fleet     *fleet
+	check     *checker
+	discovery string
+	authority *keys.Authority
+
+	mu       sync.Mutex
+	gateways []*process
+	liars    map[int]*liar
+	closing  bool
+	waits    sync.WaitGroup
+}
+
+// process is one gateway.
+type process struct {
+	r      *rig
+	index  int
+	addr   string
+	gossip string
+	env    []string
+	cmd    *exec.Cmd
+	down   time.Time // zero while it runs
+	last   string    // its last lines of counters
+	words  string    // its last line
+	exited chan struct{}
+}
+
+// Playable tells which faults can be played on sockets.
+var Playable = []string{"crash", "hang", "slow", "error", "refuse", "slow_apply", "gateway_crash", "gateway_pause", "liar"}
+
+// Play plays a day. It takes as long as the day, and leaves nothing running.
+func Play(ctx context.Context, d Day) (*Result, error) {
+	for i, f := range d.Faults {
+		if !slices.Contains(Playable, f.Kind) {
+			return nil, fmt.Errorf("faults[%d]: %q cannot be played on sockets; %s can", i, f.Kind, strings.Join(Playable, ", "))
+		}
+	}
+	dir, err := os.MkdirTemp("", "gorsewell-loopback-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	r := &rig{Day: d, dir: dir, liars: map[int]*liar{}}
+	r.check = newChecker(&r.World)
+	if r.fleet, err = newFleet(&r.World, d.Seed, r.check); err != nil {
+		return nil, err
+	}
+	defer r.fleet.close()
+	if r.discovery, err = r.fleet.lists.listen(); err != nil {
+		return nil, err
+	}
+	defer r.fleet.lists.close()
+	defer r.stop()
+	if err := r.startGateways(); err != nil {
+		return nil, err
+	}
+	select {
+	case <-time.After(d.Warm):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var addrs []string
+	for _, p := range r.gateways {
+		addrs = append(addrs, p.addr)
+	}
+	c := newClients(&r.World, d.Seed, addrs, r.front)
+	r.check.start = time.Now()
+	stop := make(chan struct{})
+	var faults sync.WaitGroup
+	for i := range d.Faults {
+		faults.Go(func() { r.strike(&d.Faults[i], i, stop) })
+	}
+	c.ask()
+	close(stop)
+	faults.Wait()
+	r.stop()
+	res := c.res
+	r.check.mu.Lock()
+	defer r.check.mu.Unlock()
+	for i, n := range r.check.broken {
+		res.Broken[i] += n
+	}
+	res.Stories = append(res.Stories, r.check.stories...)
+	res.Events, res.Sends = r.check.events, r.check.sends
+	for _, p := range r.gateways {
+		res.Gateways = append(res.Gateways, p.last)
+	}
+	return res, nil
+}
+
+// settings is the deployment as gateways are told it.
+func settings(w *emulator.World) map[string]any {
+	var classes []any
+	var needs, bounds []any
+	for _, t := range w.OpTypes {
+		effect := map[string]string{"retryable": "retryable", "tokened": "dedup", "non_retryable": "fragile"}[t.Effect]
+		scope := map[string]string{"group": "cell", "zone": "zone", "all": "all"}[t.Scope]
+		classes = append(classes, map[string]any{"name": t.Name, "effect": effect, "dedup_scope": scope, "window": int64(t.Window), "target": int64(t.Target),
+			"give_up": int64(t.Timeout), "worth": t.Value, "late_value": t.LateValue})
+		needs = append(needs, map[string]string{"write": "mutate", "fresh": "strong", "session": "causal", "bounded": "lag_bound", "any": "eventual"}[t.Need])
+		bound := int64(0)
+		if t.Need == "bounded" {
+			bound = int64(t.Bound)
+		}
+		bounds = append(bounds, bound)
+	}
+	checks := map[string]string{"none": "silent", "refuses": "bounce", "waits": "await"}[w.Reports.Checks]
+	marks := "kept"
+	if w.Reports.Carried {
+		marks = "brought"
+	}
+	report := map[string]any{"via": "none"}
+	if w.Reports.Probes {
+		report = map[string]any{"via": "pull", "names": []any{"x0", "x1"}}
+	}
+	mode := "push"
+	if w.List.Asked {
+		mode = "on_request"
+	}
+	return map[string]any{"balancers": w.Gateways.Count, "round": int64(w.Gateways.Round), "registry_mode": mode, "classes": classes, "report": report,
+		"family_info": map[string]any{"needs_by_class": needs, "lag_allowed": bounds, "tells_position": w.Reports.Answers, "write_marks": marks, "checks": checks},
+		"limits": map[string]any{"connect_timeout": int64(w.Servers.ConnectFor), "keepalive": int64(w.Servers.Idle), "max_attempts": w.Gateways.MaxSends,
+			"may_cancel": w.Gateways.Cancels, "probing": w.Gateways.Probes, "retry_after": w.Gateways.ComeBack > 0, "max_retry_after": int64(w.Gateways.ComeBack)},
+		"rules": map[string]any{"must_ask_in": int64(w.List.Within), "cold_from": w.Servers.ColdFrom, "cold": int64(w.Servers.ColdTime),
+			"overload_factor": w.Rules.Overload, "fall": int64(w.Rules.FallTime), "only_draining_binds": w.Reports.GoneRuns}}
+}
+
+// free finds a port that nobody holds, for TCP and UDP.
+func free() (string, error) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		u, err := net.ListenPacket("udp", addr)
+		l.Close()
+		if err == nil {
+			u.Close()
+			return addr, nil
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+// startGateways starts the instances and waits until each takes ops.
+func (r *rig) startGateways() error {
+	var err error
+	if r.authority, err = keys.NewAuthority("day"); err != nil {
+		return err
+	}
+	if _, _, err = keys.WriteAuthority(r.dir, r.authority); err != nil {
+		return err
+	}
+	known, err := json.Marshal(r.fleet.lists.page(0))
+	if err != nil {
+		return err
+	}
+	told, err := json.Marshal(settings(&r.World))
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range r.World.Gateways.Count {
+		p := &process{r: r, index: i}
+		if p.addr, err = free(); err != nil {
+			return err
+		}
+		if p.gossip, err = free(); err != nil {
+			return err
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, p.gossip)
+		}
+		r.gateways = append(r.gateways, p)
+	}
+	for _, p := range r.gateways {
+		if err := p.write(known, told, seeds); err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, p := range r.gateways {
+		if err := p.ready(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// write puts together what an instance is given.
+func (p *process) write(known, told []byte, seeds []string) error {
+	name := fmt.Sprintf("g%04d", p.index)
+	base := filepath.Join(p.r.dir, name)
+	text := fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":96,"sockets":1024},"known":%s,"settings":%s}`,
+		name, p.addr, p.r.discovery, p.r.Seed<<16|uint64(p.index), known, told)
+	if err := os.WriteFile(base+".json", text, 0o600); err != nil {
+		return err
+	}
+	_, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+	cert, err := p.r.authority.Issue(name, private.Public().(ed25519.PublicKey), time.Now().Add(24*time.Hour))
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(keys.WriteKey(base+".key", private), keys.WriteCertificate(base+".crt", cert)); err != nil {
+		return err
+	}
+	p.env = append(os.Environ(), "LB_CONFIG="+base+".json", "LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=", "GORSEWELL_CONFIG=", "GOMAXPROCS=1")
+	g := &p.r.World.Gossip
+	yaml := fmt.Sprintf("gossip:\n  enabled: true\n  cluster: day\n  listen: %q\n  seeds: [\"%s\"]\n  certificate: %s.crt\n  key: %s.key\n  authorities: [day.authority]\n"+
+		"  probe_every: %v\n  probe_timeout: %v\n  suspect_for: %v\n  tell_every: %v\n  sync_every: %v\n  rumour_life: %v\n",
+		p.gossip, strings.Join(seeds, `", "`), name, name, g.ProbeEvery, g.ProbeTimeout, g.SuspectFor, g.TellEvery, g.SyncEvery, g.RumourLife)
+	return os.WriteFile(base+".yaml", []byte(yaml), 0o600)
+}
+
+// lies tells whether an instance is to lie: then its gossip is the rig's, and the gateway beside it has none.
+func (p *process) lies() bool { return slices.Contains(p.r.lying(), p.index) }
+
+// start starts the process.
+func (p *process) start() error {
+	args := []string{"run"}
+	if p.r.Gossip && !p.lies() {
+		args = append(args, "--config", filepath.Join(p.r.dir, fmt.Sprintf("g%04d.yaml", p.index)))
+	}
+	cmd := exec.Command(p.r.Program, args...)
+	cmd.Env = p.env
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	var log io.Writer = io.Discard
+	if p.r.Keep != "" {
+		f, err := os.OpenFile(filepath.Join(p.r.Keep, fmt.Sprintf("g%04d.log", p.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		log = f
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.r.mu.Lock()
+	p.cmd, p.down, p.exited = cmd, time.Time{}, make(chan struct{})
+	exited := p.exited
+	p.r.mu.Unlock()
+	p.r.waits.Go(func() {
+		lines := bufio.NewScanner(out)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			fmt.Fprintln(log, lines.Text())
+			p.r.mu.Lock()
+			p.words = lines.Text()
+			p.r.mu.Unlock()
+			if strings.Contains(lines.Text(), "event=gossip_counters") || strings.Contains(lines.Text(), "event=stopped") {
+				p.r.mu.Lock()
+				p.last += lines.Text() + "\n"
+				p.r.mu.Unlock()
+			}
+		}
+		cmd.Wait()
+		close(exited)
+		if f, ok := log.(*os.File); ok {
+			f.Close()
+		}
+	})
+	return nil
+}
+
+// ready waits until the gateway takes ops.
+func (p *process) ready() error {
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if c, err := net.DialTimeout("tcp", p.addr, time.Second); err == nil {
+			c.SetDeadline(time.Now().Add(time.Second))
+			c.Write(append(pgwire.AppendStartup(nil, "portal", "crm"), pgwire.AppendQuery(nil, "")...))
+			k := &conn{Conn: c}
+			_, first := k.answer()
+			_, second := k.answer()
+			c.Close()
+			if first == nil && second == nil {
+				return nil
+			}
+		}
+		select {
+		case <-p.exited:
+			p.r.mu.Lock()
+			defer p.r.mu.Unlock()
+			return fmt.Errorf("gateway %d ended at its start: %s", p.index, p.words)
+		default:
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("gateway %d does not answer", p.index)
+		}
+	}
+}
+
+// front is the instance that the front would take: a client's own, or another once the front has noticed that it is dead.
+func (r *rig) front(home int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.gateways)
+	for i := range n {
+		p := r.gateways[(home+i)%n]
+		if p.down.IsZero() || time.Since(p.down) < r.World.Gateways.FrontKnows {
+			return p.index
+		}
+	}
+	return home
+}
+
+// kill ends an instance at once and starts it again after a while.
+func (r *rig) kill(p *process, back time.Duration, stop <-chan struct{}) {
+	r.mu.Lock()
+	cmd := p.cmd
+	p.down = time.Now()
+	r.mu.Unlock()
+	cmd.Process.Kill()
+	<-p.exited
+	select {
+	case <-time.After(back):
+	case <-stop:
+		return
+	}
+	r.mu.Lock()
+	closing := r.closing
+	r.mu.Unlock()
+	if closing {
+		return
+	}
+	if err := p.start(); err != nil {
+		r.check.event("gateway %d does not start again: %v", p.index, err)
+	}
+}
+
+// stop ends all instances, by plan, and waits for them.
+func (r *rig) stop() {
+	r.mu.Lock()
+	already := r.closing
+	r.closing = true
+	var running []*process
+	for _, p := range r.gateways {
+		if p.cmd != nil && p.down.IsZero() {
+			running = append(running, p)
+		}
+	}
+	r.mu.Unlock()
+	if already {
+		return
+	}
+	for _, l := range r.liars {
+		l.end()
+	}
+	for _, p := range running {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range running {
+		select {
+		case <-p.exited:
+		case <-time.After(10 * time.Second):
+			p.cmd.Process.Kill()
+		}
+	}
+	r.waits.Wait()
+}
+
+// targets draws what a fault strikes, in the emulator's way.
+func (r *rig) targets(f *emulator.Fault, rng *mathrand.Rand) (servers []*server, gateways []*process) {
+	amount := func(of int) int {
+		n := f.Count
+		if f.Share > 0 {
+			n = int(f.Share*float64(of) + 0.5)
+		}
+		return min(of, max(1, n))
+	}
+	if strings.HasPrefix(f.Kind, "gateway") || f.Kind == "liar" {
+		for _, i := range rng.Perm(len(r.gateways))[:amount(len(r.gateways))] {
+			gateways = append(gateways, r.gateways[i])
+		}
+		return nil, gateways
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	var fit []*server
+	for _, s := range r.fleet.servers {
+		primary := s.group.primary == s
+		if s.l == nil || f.Zone > 0 && s.zone != f.Zone-1 || f.Group > 0 && s.groupIndex() != f.Group-1 || f.Of == "primaries" && !primary ||
+			f.Of == "replicas" && primary {
+			continue
+		}
+		fit = append(fit, s)
+	}
+	if len(fit) > 0 {
+		for _, i := range rng.Perm(len(fit))[:amount(len(fit))] {
+			servers = append(servers, fit[i])
+		}
+	}
+	return servers, nil
+}
+
+func (r *rig) rngOf(order int) *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(r.Seed, 0xfa01+uint64(order)))
+}
+
+// lying lists the instances that are to lie.
+func (r *rig) lying() (all []int) {
+	for i := range r.Faults {
+		if f := &r.Faults[i]; f.Kind == "liar" {
+			_, gateways := r.targets(f, r.rngOf(i))
+			for _, p := range gateways {
+				all = append(all, p.index)
+			}
+		}
+	}
+	return all
+}
+
+// strike plays one fault.
+func (r *rig) strike(f *emulator.Fault, order int, stop <-chan struct{}) {
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-stop:
+			return false
+		}
+	}
+	rng := r.rngOf(order)
+	if f.At > 0 && !wait(f.At) {
+		return
+	}
+	size := f.Size
+	if size == 0 {
+		size = map[string]float64{"slow": 5, "error": 0.6, "slow_apply": 8}[f.Kind]
+	}
+	for {
+		servers, gateways := r.targets(f, rng)
+		r.check.event("%s begins at %d servers, %d gateways", f.Kind, len(servers), len(gateways))
+		var running sync.WaitGroup
+		for i, p := range gateways {
+			switch f.Kind {
+			case "gateway_crash":
+				running.Go(func() { r.kill(p, max(f.Back, 100*time.Millisecond), stop) })
+			case "gateway_pause":
+				p.cmd.Process.Signal(syscall.SIGSTOP)
+				running.Go(func() {
+					wait(max(f.Back, 100*time.Millisecond))
+					p.cmd.Process.Signal(syscall.SIGCONT)
+				})
+			case "liar":
+				if r.Gossip {
+					how := f.How
+					if how == "" || how == "mixed" {
+						how = emulator.Lies[i%len(emulator.Lies)]
+					}
+					r.lie(p, how)
+				}
+			}
+		}
+		for _, s := range servers {
+			r.ail(f.Kind, s, size, true)
+		}
+		if f.For > 0 {
+			wait(f.For)
+			for _, s := range servers {
+				r.ail(f.Kind, s, size, false)
+			}
+			r.check.event("%s ends", f.Kind)
+		}
+		running.Wait()
+		if f.Every <= 0 || !wait(max(0, f.Every-f.For)) {
+			return
+		}
+	}
+}
+
+// ail begins or ends what ails a server.
+func (r *rig) ail(kind string, s *server, size float64, begins bool) {
+	switch kind {
+	case "crash":
+		if begins {
+			s.crash()
+		} else if err := s.start(); err != nil {
+			r.check.event("server %d does not start again: %v", s.num, err)
+		}
+	case "hang":
+		s.set(func(s *server) { s.hung = begins && s.l != nil })
+	case "slow":
+		s.set(func(s *server) { s.slow = 1 + (size-1)*one(begins) })
+	case "error":
+		s.set(func(s *server) { s.fails = size * one(begins) })
+	case "refuse":
+		s.set(func(s *server) { s.refuses = begins })
+	case "slow_apply":
+		s.set(func(s *server) { s.slowLog = 1 + (size-1)*one(begins) })
+	}
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -197,7 +197,28 @@
 	return key + "." + name
 }
 
+// Raw is a part of a file that is read later, into what only becomes known then.
+type Raw struct {
+	f    *File
+	key  string
+	node ast.Node
+}
+
+// Given tells whether the file had anything there.
+func (r *Raw) Given() bool { return r.node != nil }
+
+// Into reads the part into what into points at, over what stands there already. Problems go to the file's.
+func (r *Raw) Into(into any) {
+	if r.node != nil {
+		r.f.value(r.key, r.node, reflect.ValueOf(into).Elem(), 0)
+	}
+}
+
+// Key is where the part stands.
+func (r *Raw) Key() string { return r.key }
+
 var (
+	rawType      = reflect.TypeFor[Raw]()
 	durationType = reflect.TypeFor[time.Duration]()
 	textType     = reflect.TypeFor[encoding.TextUnmarshaler]()
 )
@@ -220,6 +241,8 @@
 		return
 	}
 	switch {
+	case v.Type() == rawType:
+		v.Set(reflect.ValueOf(Raw{f, key, n}))
 	case v.Type() == durationType:
 		f.duration(key, n, v)
 	case reflect.PointerTo(v.Type()).Implements(textType):
