--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,27 +15,30 @@
 
 // The few constants are ratios, so that they fit any deployment.
 const (
-	holdShare    = 4      // part of its latency target that a session read is held, that a marked retry has left
-	fullShare    = 6      // answers later than this part of the latency target show a queue at the server
-	cut          = 0.8    // what a server may owe shrinks so at such an answer
-	scarce       = 128    // brief waits for which trouble with connections is taken to last
-	pause        = 8      // ticks without a timer that show that the gateway itself stood still
-	relief       = 1. / 3 // of a strain for a timely answer: it stands still with one late answer in four
-	startLimit   = 8      // sends owed by a server that nothing is known of
-	fullTurn     = 64     // a histogram is halved at this many entries
-	overdueAfter = 3      // usual answer times after which an answer is overdue; twice that in all is silence
-	lostAfter    = 12     // usual answer times, for each send of the op, after which one is called back
-	answered     = 2      // probes that bring a server back that was set aside
-	probeShare   = 0.25   // probes for each op that came in, beyond those that the design asks for
-	briefShare   = 16     // part of the shortest latency target that counts as a brief wait
-	believed     = 1      // how many others, weighed, must find a server in trouble for it to matter
-	shyShare     = 8      // part of its turn that a replica keeps of which they say so
-	shyMost      = 3      // part of the replicas in use that are passed over for what others say, at most
-	longest      = 32     // brief waits for which a server is passed over at most
-	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
-	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
-	never        = time.Duration(math.MaxInt64)
-	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
+	holdShare     = 4      // part of its latency target that a session read is held, that a marked retry has left
+	fullShare     = 6      // answers later than this part of the latency target show a queue at the server
+	cut           = 0.8    // what a server may owe shrinks so at such an answer
+	scarce        = 128    // brief waits for which trouble with connections is taken to last
+	pause         = 8      // ticks without a timer that show that the gateway itself stood still
+	relief        = 1. / 3 // of a strain for a timely answer: it stands still with one late answer in four
+	startLimit    = 8      // sends owed by a server that nothing is known of
+	fullTurn      = 64     // a histogram is halved at this many entries
+	overdueAfter  = 3      // usual answer times after which an answer is overdue; twice that in all is silence
+	patienceLeast = 1.5    // usual answer times after which a second copy may be sent, at the least
+	patienceTurn  = 1.1    // by which that shrinks for a copy that was of use, and grows for one that was not
+	lostAfter     = 12     // usual answer times, for each send of the op, after which one is called back
+	answered      = 2      // probes that bring a server back that was set aside
+	probeShare    = 0.25   // probes for each op that came in, beyond those that the design asks for
+	ageTurn       = 8      // reports of primaries over which their age is averaged
+	briefShare    = 16     // part of the shortest latency target that counts as a brief wait
+	believed      = 1      // how many others, weighed, must find a server in trouble for it to matter
+	shyShare      = 8      // part of its turn that a replica keeps of which they say so
+	shyMost       = 3      // part of the replicas in use that are passed over for what others say, at most
+	longest       = 32     // brief waits for which a server is passed over at most
+	unspent       = 8      // part of the stated overload time for which a cold server's allowance adds up unused
+	coldCaution   = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
+	never         = time.Duration(math.MaxInt64)
+	rememberedAt  = 4096 // session marks kept one by one; beyond that they fold into one floor
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -77,9 +80,9 @@
 	session                   uint64
 	luck, worth               float64       // whether it falls into a share; its value for a unit of time
 	targetAt, holdUntil, due  time.Duration // its client's latency target; held for a replica; its client leaves
-	at                        *server       // where a send is out, or nil
+	out                       []*send       // sends without a result: a second only of a retryable op
 	sends                     int
-	sentAt, waitFrom          time.Duration // the newest send; the same or the end of this gateway's own pause
+	erred                     *server       // the first that answered it with an error
 	mark, maybeAt             time.Duration // the position to see; the first send that may have run, if any
 	held, missed, asked, done bool          // missed: a replica turned it away; asked: one was probed for it
 }
@@ -92,6 +95,14 @@
 	return o.mark
 }
 
+// send is one send of an op that has no result yet.
+type send struct {
+	op           *op
+	to           *server
+	number       uint8
+	at, waitFrom time.Duration // when it was sent; the same or the end of this gateway's own pause
+}
+
 type server struct {
 	id                   uint32
 	group                *group
@@ -100,9 +111,11 @@
 	role                 Role
 	weight, credit       float64       // in the rotation
 	allowed, acked       float64       // work that a cold one may be sent, below 0: had more; has acked of late
-	pos, behind          time.Duration // the newest position told, it never goes back; how far behind it was
+	pos                  time.Duration // the newest position told, it never goes back
+	behind, behindAt     time.Duration // how far behind it was, and when that was learnt
 	started, roleAt      time.Duration // roleAt: how new the newest evidence of the role is
-	owed                 []*op         // sends out, oldest first
+	owed                 []*send       // oldest first
+	unanswered           float64       // usual times waited for what was taken back since its last answer
 	heard, proved, cutAt time.Duration // newest sign of life; when what it answered was sent; limit last cut
 	limit                float64       // sends that it may owe; below one, the chance that an op may be sent
 	allowedAt, nextProbe time.Duration // nextProbe: never while one is out
@@ -130,14 +143,16 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief, tightest, comeBack   time.Duration // between looks; brief wait; bound; wait that clients honour
-	checked, carried, steady          bool          // replicas check reads; reads tell marks; only probes do
-	probes, cancels, asks, goneMayRun bool          // allowed; allowed; for positions; 'gone' proves nothing
-	maxSends, firstNeeds              int           // sends for an op; probes before first use
-	askAt, askWait, askMost           time.Duration // for the list again, 0: not; the next wait; the longest
-	coldTime, overloadTime            time.Duration
-	coldFrom, coldMultiple, gateways  float64
+	tick, brief, tightest, comeBack           time.Duration // between looks; brief wait; bound; wait that clients honour
+	checked, carried, steady                  bool          // replicas check reads; reads tell marks; only probes do
+	probes, cancels, asks, goneMayRun, copies bool          // allowed; allowed; for positions; 'gone' proves nothing
+	maxSends, firstNeeds                      int           // sends for an op; probes before first use
+	askAt, askWait, askMost                   time.Duration // for the list again, 0: not; the next wait; the longest
+	coldTime, overloadTime                    time.Duration
+	coldFrom, coldMultiple, gateways          float64
 
+	age                         time.Duration // of reports, by what primaries report
+	patience                    float64       // usual answer times after which a second copy is sent
 	sentWarm, warm, probing     float64       // work sent to warm servers of late; to one, per time; probes
 	home, spread                *[256]float64 // the strain on primaries and on replicas, by kind of machine
 	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
@@ -154,8 +169,8 @@
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.ReportsPosition && !d.TellsPosition,
-		goneMayRun: d.OnlyDrainingBinds, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
+		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
+		goneMayRun: d.OnlyDrainingBinds, copies: d.SecondCopies, patience: overdueAfter, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
 		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
 		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
 		gateways: max(1, float64(d.Gateways)), seed: d.Seed, floor: LongPast,
@@ -194,9 +209,32 @@
 	}
 	g.ops[id] = o
 	g.probing += probeShare
+	if g.steady {
+		g.look(o.group, now)
+	}
 	g.place(now, o)
 }
 
+// look probes the member that was looked at the longest ago, where only probes tell positions.
+func (g *Gateway) look(gr *group, now time.Duration) {
+	var s *server
+	for _, m := range gr.members {
+		if m.state == Ready && m.nextProbe <= now && (s == nil || m.nextProbe < s.nextProbe) {
+			s = m
+		}
+	}
+	if s != nil && g.probing >= 1 {
+		g.probe(s)
+	}
+}
+
+// probe spends one probe of the ration.
+func (g *Gateway) probe(s *server) {
+	g.probing--
+	s.nextProbe = never
+	g.host.Probe(s.id)
+}
+
 // markOf is the position that a session's read must see.
 func (g *Gateway) markOf(now time.Duration, session uint64, wroteAgo time.Duration) time.Duration {
 	if m, ok := g.marks[session]; ok {
@@ -210,18 +248,23 @@
 }
 
 // Answer is called once for each send, when it has ended.
-func (g *Gateway) Answer(now time.Duration, id uint32, send uint8, at uint32, result Result,
+func (g *Gateway) Answer(now time.Duration, id uint32, number uint8, at uint32, result Result,
 	took time.Duration, final bool, role Role, pos time.Duration) {
 	g.mind(now)
 	s, o := g.servers[at], g.ops[id]
 	if s != nil {
 		g.told(now, s, role, pos, now)
 	}
-	if o == nil || o.at == nil || int(send) != o.sends-1 {
+	if o == nil {
+		return
+	}
+	i := slices.IndexFunc(o.out, func(x *send) bool { return x.number == number })
+	if i < 0 {
 		return
 	}
-	s, o.at = o.at, nil
-	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
+	x := o.out[i]
+	s, o.out = x.to, slices.Delete(o.out, i, i+1)
+	s.owed = slices.DeleteFunc(s.owed, func(p *send) bool { return p == x })
 	if result == Acked && o.t.Need == Write && pos != LongPast && !g.carried {
 		if len(g.marks) >= rememberedAt { // all fold into one floor: memory is bounded, no read sees too little
 			g.floor = now
@@ -230,18 +273,26 @@
 		g.marks[o.session] = max(pos, g.markOf(0, o.session, 0))
 	}
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
-	if neverRan && o.maybeAt == o.sentAt {
+	if neverRan && o.maybeAt == x.at {
 		o.maybeAt = never
 	}
 	s.group.owed--
 	if !neverRan && g.ramp(now-g.overloadTime, s) >= 1 {
 		g.sentWarm += float64(o.t.usual()) // what is turned away does not show what a server takes
 	}
-	g.judge(now, s, o, result, took)
-	if final || o.done || result == Acked {
-		delete(g.ops, id)
-	} else {
-		o.missed = o.missed || result == Miss
+	// An error of a second server too is the op's own fault, unless one of the two is in doubt itself.
+	e := o.erred
+	hopeless := result == ServerError && e != nil && e != s && e.wait == 0 && s.wait == 0
+	g.judge(now, x, result, took)
+	g.learn(now, x, result, pos)
+	o.missed = o.missed || result == Miss
+	if final || result == Acked {
+		g.end(o)
+	} else if o.done {
+		g.forget(o)
+	} else if hopeless {
+		g.giveUp(o)
+	} else if len(o.out) == 0 {
 		g.place(now, o)
 	}
 	g.wake(now, s.group)
@@ -251,8 +302,10 @@
 func (g *Gateway) mind(now time.Duration) {
 	if now-g.timedAt > pause*g.tick && now > g.pausedAt {
 		g.pausedAt = now
-		for _, o := range g.ops {
-			o.waitFrom = now
+		for _, s := range g.servers {
+			for _, x := range s.owed {
+				x.waitFrom = now
+			}
 		}
 	}
 }
@@ -268,10 +321,18 @@
 func (g *Gateway) end(o *op) {
 	o.done = true
 	o.unhold()
-	if o.at == nil {
+	for _, x := range o.out {
+		if g.cancels {
+			g.host.Cancel(o.id, x.number)
+		}
+	}
+	g.forget(o)
+}
+
+// forget drops an op that has ended once nothing of it is out.
+func (g *Gateway) forget(o *op) {
+	if len(o.out) == 0 {
 		delete(g.ops, o.id)
-	} else if g.cancels {
-		g.host.Cancel(o.id, uint8(o.sends-1))
 	}
 }
 
@@ -364,9 +425,11 @@
 	return &g.spread[s.kind]
 }
 
-// room returns the server if it is in use and owes less than it takes, below one send by the op's chance.
+// room returns the server if it is in use and owes less than it takes, below one send by the op's chance. It
+// is no place for an op that it still owes, nor for one that it answered with an error, unless it is home.
 func (g *Gateway) room(now time.Duration, s *server, o *op) *server {
-	if !s.usable() || now < s.shunnedTill || float64(len(s.owed)) >= s.limit ||
+	if !s.usable() || now < s.shunnedTill || s == o.erred && s != s.group.primary ||
+		slices.ContainsFunc(o.out, func(x *send) bool { return x.to == s }) || float64(len(s.owed)) >= s.limit ||
 		o.luck > min(s.limit, math.Pow(cut, *g.strain(s))) {
 		return nil
 	}
@@ -375,7 +438,9 @@
 
 // reached is a server's told position; one that checks reads is taken to be as far behind as it last was.
 func (g *Gateway) reached(now time.Duration, s *server) time.Duration {
-	if g.checked {
+	if g.steady {
+		return now - max(0, s.behind-(now-s.behindAt)) // it is taken to catch up twice as fast as time
+	} else if g.checked {
 		return now - s.behind
 	}
 	return s.pos
@@ -438,19 +503,22 @@
 	return o.t.Effect == Tokened && o.t.Scope != ScopeZone && now-o.maybeAt < o.t.Window-2*g.tick
 }
 
+// mayCopy is rule 2 for a second send beside the first.
+func (g *Gateway) mayCopy(o *op) bool { return g.copies && o.t.Effect == Retryable }
+
 // send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
 func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
 	// Rule 5: the server is the primary, is known to have what is needed, or checks for itself.
 	fresh := s == o.group.primary || o.t.Need == Write || g.checked || s.pos >= o.want(now)
-	if o.done || o.at != nil || !g.maySend(now, o) || // rules 1 and 2
+	if o.done || !g.maySend(now, o) || len(o.out) > 0 && !(g.mayCopy(o) && len(o.out) == 1) || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
 		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
-	o.at, o.sentAt, o.waitFrom, o.maybeAt = s, now, now, min(o.maybeAt, now)
-	o.sends++
+	x := &send{op: o, to: s, number: uint8(o.sends), at: now, waitFrom: now}
+	o.maybeAt, o.sends = min(o.maybeAt, now), o.sends+1
 	s.group.owed++
-	s.owed = append(s.owed, o)
+	o.out, s.owed = append(o.out, x), append(s.owed, x)
 	g.host.Send(o.id, s.id, 0) // it may be called back
 	return true
 }
@@ -489,7 +557,9 @@
 
 // told takes in role and position; at dates the evidence, or a primary's position, as that is the present.
 func (g *Gateway) told(now time.Duration, s *server, role Role, pos, at time.Duration) {
-	s.pos, s.behind = max(s.pos, pos), now-max(s.pos, pos)
+	if pos != LongPast {
+		s.pos, s.behind, s.behindAt = max(s.pos, pos), now-max(s.pos, pos), now
+	}
 	if role == Replica {
 		s.group.heard = at
 	} else if role == Primary && pos != LongPast {
@@ -513,15 +583,39 @@
 		g.told(now, s, role, pos, now)
 	} else if s != nil {
 		g.told(now, s, role, pos, pos)
+		// A primary stands at the present, so its reports tell how old reports are. A replica may be that fresher.
+		if role == Primary {
+			g.age += (now - pos - g.age) / ageTurn
+		}
+		s.behind = max(0, s.behind-2*g.age)
+	}
+}
+
+// learn stands in for positions where answers tell none: a replica that answered a read had what it must see,
+// one that turned it away had not.
+func (g *Gateway) learn(now time.Duration, x *send, result Result, pos time.Duration) {
+	if !g.steady || x.to == x.to.group.primary || x.op.t.Need != Session && x.op.t.Need != Bounded {
+		return
+	}
+	s, lag := x.to, max(0, now-x.op.want(x.at))
+	if behind := now - g.reached(now, s); result == Acked {
+		s.behind, s.behindAt = min(behind, lag), now
+	} else if result == Miss {
+		s.behind, s.behindAt = max(behind, lag), now
 	}
 }
 
 // judge draws from one result what it says of a server's health and of how much it takes.
-func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
-	home, slow := s == s.group.primary, took > o.t.Target/fullShare
+func (g *Gateway) judge(now time.Duration, x *send, result Result, took time.Duration) {
+	s, o := x.to, x.op
+	slow := took > o.t.Target/fullShare
 	switch result {
 	case Acked, Miss, ServerFull, ServerError:
-		s.heard, s.proved = now, max(s.proved, o.sentAt)
+		s.heard, s.proved, s.unanswered = now, max(s.proved, x.at), 0
+	case Cancelled: // another answered sooner, or the op had no more time
+		if x.at >= s.proved {
+			s.unanswered += float64(now-max(x.waitFrom, s.heard)) / float64(o.t.usual())
+		}
 	case Reset: // a bad way or a dead process, no lack of connections
 		g.resetAt, g.crowdedTill = now, LongPast
 	case NoConnection:
@@ -536,8 +630,11 @@
 	switch {
 	case result == Acked:
 		s.wait = 0
-	case result == ServerError && !home:
-		g.doubt(now, s, Failing, false) // a primary that fails some is still the only one for writes
+		if e := o.erred; e != nil && e != s && e != e.group.primary {
+			g.doubt(now, e, Failing, false) // a primary that fails some is still the only one for writes
+		}
+	case result == ServerError && o.erred == nil:
+		o.erred = s // its own fault, or the op's: another server's answer will tell
 	case result == ServerFull:
 		g.doubt(now, s, NoTrouble, false) // it has much to do, which is no trouble of its own
 	case result == NoConnection, result == Reset:
@@ -547,6 +644,11 @@
 		return // after a pause of its own nobody knows how late an answer came
 	}
 	if result == Acked {
+		if len(o.out) > 0 && o.out[0].number < x.number { // the copy was sooner: one is sent sooner from now on
+			g.patience = max(g.patience/patienceTurn, patienceLeast)
+		} else if len(o.out) > 0 {
+			g.patience = min(g.patience*patienceTurn, lostAfter)
+		}
 		o.t.took.add(took, o.t.Target)
 		s.acked += float64(o.t.usual())
 		if slow && now-s.cutAt > took {
@@ -619,9 +721,7 @@
 			g.askAt = now
 		}
 		if g.probes && s.state == Ready && now >= s.nextProbe && g.probing >= 1 {
-			g.probing--
-			s.nextProbe = never
-			g.host.Probe(s.id)
+			g.probe(s)
 		}
 	}
 	s.rumour = weight
@@ -644,16 +744,16 @@
 
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
-	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
+	return slices.ContainsFunc(s.owed, func(x *send) bool { return now-x.waitFrom > overdueAfter*x.op.t.usual() })
 }
 
 // silent tells whether a server that owes answers has been quiet for longer than chance explains. Where it
 // answered what was sent later, a connection is silent and not the server.
 func (s *server) silent(now time.Duration, least float64) bool {
-	sum, longest := 0.0, 0.0
-	for _, o := range s.owed {
-		if o.sentAt >= s.proved {
-			wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
+	sum, longest := s.unanswered, s.unanswered
+	for _, x := range s.owed {
+		if x.at >= s.proved {
+			wait := float64(now-max(x.waitFrom, s.heard)) / float64(x.op.t.usual())
 			sum, longest = sum+wait, max(longest, wait)
 		}
 	}
@@ -663,11 +763,21 @@
 // callBack ends sends that are out for so long that their answers must be lost: a connection may be silent as
 // its server answers others. It does so only where the op may be sent again and can still earn something.
 func (g *Gateway) callBack(now time.Duration, s *server) {
-	for _, o := range s.owed {
-		lost := time.Duration(lostAfter*o.sends) * o.t.usual()
-		if g.cancels && !o.done && now-o.waitFrom > lost && now < g.lastUseful(o) && g.maySend(now, o) {
-			o.waitFrom = now
-			g.host.Cancel(o.id, uint8(o.sends-1))
+	for _, x := range slices.Clone(s.owed) {
+		o, waited := x.op, float64(now-x.waitFrom)/float64(x.op.t.usual())
+		if o.done || now >= g.lastUseful(o) || x != o.out[len(o.out)-1] {
+			continue
+		}
+		if g.mayCopy(o) {
+			if waited <= g.patience {
+			} else if len(o.out) > 1 && g.cancels {
+				g.host.Cancel(o.id, o.out[0].number)
+			} else if to := g.choose(now, o); to != nil {
+				g.send(now, o, to)
+			}
+		} else if g.cancels && waited > lostAfter*float64(o.sends) && g.maySend(now, o) {
+			x.waitFrom = now
+			g.host.Cancel(o.id, x.number)
 		}
 	}
 }
@@ -780,10 +890,8 @@
 				g.doubt(now, s, NoTrouble, true) // not told: without the rumour it would be no symptom yet
 			}
 			g.callBack(now, s)
-			if g.probes && s.state == Ready && now >= s.nextProbe && (g.steady || s.needs > 0 && g.probing >= 1) {
-				g.probing--
-				s.nextProbe = never
-				g.host.Probe(s.id)
+			if g.probes && s.state == Ready && now >= s.nextProbe && s.needs > 0 && g.probing >= 1 {
+				g.probe(s)
 			}
 		}
 		gr.members = slices.DeleteFunc(gr.members, g.forgets)
--- a/choice/host.go
+++ b/choice/host.go
@@ -88,6 +88,7 @@
 	MarksCarried      bool          // a session read says how old its last write is
 	Probes            bool          // probing is allowed
 	Cancels           bool          // cancelling is allowed
+	SecondCopies      bool          // a second send of a retryable op may run beside the first
 	MaxComeBack       time.Duration // the longest wait named in a busy reply that a client honours
 	MaxSends          int
 	OnlyDrainingBinds bool
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -178,6 +178,7 @@
 			MarksCarried:      v["family_info.write_marks"] == "brought",
 			Probes:            r.flag("limits.probing"),
 			Cancels:           r.flag("limits.may_cancel"),
+			SecondCopies:      r.flag("limits.second_copies"),
 			MaxSends:          int(r.num("limits.max_attempts")),
 			OnlyDrainingBinds: r.flag("rules.only_draining_binds"),
 			ColdFrom:          r.num("rules.cold_from"),
