--- a/choice/choice.go
+++ b/choice/choice.go
@@ -113,7 +113,10 @@
 	allowed, acked       float64       // work that a cold one may be sent, below 0: had more; has acked of late
 	pos                  time.Duration // the newest position told, it never goes back
 	behind, behindAt     time.Duration // how far behind it was, and when that was learnt
-	started, roleAt      time.Duration // roleAt: how new the newest evidence of the role is
+	started, began       time.Duration // as listed; when it began to warm up, as listed or as it seems
+	downAt               time.Duration
+	down                 bool          // the newest sign of it was that nobody was there: it will come back cold
+	roleAt               time.Duration // roleAt: how new the newest evidence of the role is
 	owed                 []*send       // oldest first
 	unanswered           float64       // usual times waited for what was taken back since its last answer
 	heard, proved, cutAt time.Duration // newest sign of life; when what it answered was sent; limit last cut
@@ -525,7 +528,7 @@
 
 // ramp is the least share of its capacity that a server can have by now.
 func (g *Gateway) ramp(now time.Duration, s *server) float64 {
-	return min(1, g.coldFrom+(1-g.coldFrom)*max(0, float64(now-s.started)/float64(g.coldTime)))
+	return min(1, g.coldFrom+(1-g.coldFrom)*max(0, float64(now-s.began)/float64(g.coldTime)))
 }
 
 // coldTakes is rule 4: a cold server is sent a cautious part of the stated multiple of its worst case, by
@@ -534,8 +537,8 @@
 	work, r := float64(o.t.usual()), g.ramp(now-g.overloadTime, s)
 	if r >= 1 {
 		return true
-	} else if s.allowedAt < s.started {
-		s.allowed, s.acked, s.allowedAt = -g.chance()*work, 0, max(s.started, 0)
+	} else if s.allowedAt < s.began {
+		s.allowed, s.acked, s.allowedAt = -g.chance()*work, 0, max(s.began, 0)
 	}
 	since, over := float64(now-s.allowedAt), float64(g.overloadTime)
 	s.acked *= math.Exp(-since / over)
@@ -605,19 +608,56 @@
 	}
 }
 
+// lost notes that nobody was there. Members of a group may start again together: where two are lost and none has
+// answered since the first, the others are taken to be lost too.
+func (g *Gateway) lost(now time.Duration, s *server) {
+	if s.down {
+		return
+	}
+	s.down, s.downAt = true, now
+	first := now
+	for _, m := range s.group.members {
+		if m.down {
+			first = min(first, m.downAt)
+		}
+	}
+	for _, m := range s.group.members {
+		if m.proved >= first || m.heard >= first {
+			return
+		}
+	}
+	if first < now {
+		for _, m := range s.group.members {
+			if !m.down {
+				m.down, m.downAt = true, now
+			}
+		}
+	}
+}
+
+// alive takes in an answer to what was sent at a time. Where nobody had been there, the server has most likely
+// started again: it is taken to be cold until the list, which is late, tells of a start or it has had time to warm up.
+func (g *Gateway) alive(now time.Duration, s *server, at time.Duration) {
+	if s.down {
+		s.down, s.began = false, now
+	}
+	s.heard, s.proved, s.unanswered = now, max(s.proved, at), 0
+}
+
 // judge draws from one result what it says of a server's health and of how much it takes.
 func (g *Gateway) judge(now time.Duration, x *send, result Result, took time.Duration) {
 	s, o := x.to, x.op
 	slow := took > o.t.Target/fullShare
 	switch result {
 	case Acked, Miss, ServerFull, ServerError:
-		s.heard, s.proved, s.unanswered = now, max(s.proved, x.at), 0
+		g.alive(now, s, x.at)
 	case Cancelled: // another answered sooner, or the op had no more time
 		if x.at >= s.proved {
 			s.unanswered += float64(now-max(x.waitFrom, s.heard)) / float64(o.t.usual())
 		}
 	case Reset: // a bad way or a dead process, no lack of connections
 		g.resetAt, g.crowdedTill = now, LongPast
+		g.lost(now, s)
 	case NoConnection:
 		// Turned away at once, with no reset of late: connections are scarce, so none is left open unused.
 		if took < g.brief && now-g.resetAt > scarce*g.brief {
@@ -638,6 +678,9 @@
 	case result == ServerFull:
 		g.doubt(now, s, NoTrouble, false) // it has much to do, which is no trouble of its own
 	case result == NoConnection, result == Reset:
+		if s.wait > 0 && x.at >= s.proved {
+			g.lost(now, s)
+		}
 		g.doubt(now, s, Unreachable, false)
 	}
 	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
@@ -790,9 +833,11 @@
 	}
 	defer g.wake(now, s.group)
 	if result == NoConnection || result == Reset || result == TimedOut {
+		g.lost(now, s)
 		g.doubt(now, s, Unreachable, false)
 	} else { // an error is an answer too: probes may fail at servers that serve
-		s.needs, s.heard, s.proved = max(0, s.needs-1), now, max(s.proved, now-took)
+		s.needs = max(0, s.needs-1)
+		g.alive(now, s, now-took)
 	}
 	s.nextProbe = now + max(s.wait, g.brief)
 }
@@ -836,7 +881,8 @@
 	}
 	again := s.started != l.Started // it has started again: what was known of it holds no more
 	if again {
-		s.started, s.needs, s.limit = l.Started, g.firstNeeds, max(1, startLimit/g.gateways)
+		s.started, s.began, s.down = l.Started, l.Started, false
+		s.needs, s.limit = g.firstNeeds, max(1, startLimit/g.gateways)
 		g.probing++ // its first
 		g.tell(s, NoTrouble)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -154,7 +154,7 @@
 			g, _ := start(func(d *Deployment) { d.Seed = uint64(seed) * 0x9e3779b97f4a7c15 })
 			g.sentWarm = float64(4*time.Second) / float64(many) // by two warm servers in a window of 2 s
 			s, o := g.servers[3], &op{t: &g.types[anyRead]}
-			s.started = 10 * time.Second
+			s.began = 10 * time.Second
 			g.timedAt, g.walkedAt = now0, 0
 			g.Timer(now0, 0)
 			g.servers[1].needs, g.servers[2].needs = 2, 2 // and then all warm ones are lost
@@ -178,7 +178,7 @@
 		g, _ := start(func(d *Deployment) { d.OverloadFactor = 4 })
 		g.warm = 0.2
 		s, o := g.servers[1], &op{t: &g.types[anyRead]}
-		s.started = now0
+		s.began = now0
 		for now := now0; now < now0+5*time.Second; now += 10 * ms {
 			for g.coldTakes(now, o, s) {
 				if n++; acks {
