--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,7 +20,7 @@
 	cut           = 0.8    // what a server may owe shrinks so at such an answer
 	scarce        = 128    // brief waits for which trouble with connections is taken to last
 	pause         = 8      // ticks without a timer that show that the gateway itself stood still
-	relief        = 1. / 3 // of a strain for a timely answer: it stands still with one late answer in four
+	relief        = 1. / 2 // of a strain for a timely answer: it stands still with one late answer in four
 	startLimit    = 8      // sends owed by a server that nothing is known of
 	fullTurn      = 64     // a histogram is halved at this many entries
 	overdueAfter  = 3      // usual answer times after which an answer is overdue; twice that in all is silence
@@ -342,7 +342,11 @@
 // giveUp ends an op at once. Rule 2: the busy reply, which invites another try, only where that is harmless.
 func (g *Gateway) giveUp(o *op) {
 	if t := o.t; o.maybeAt == never || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
-		g.host.BusyReply(o.id, min(t.Target, g.comeBack))
+		back := t.Timeout // it can earn nothing by then
+		if t.LateValue > 0 {
+			back = t.Target
+		}
+		g.host.BusyReply(o.id, min(back, g.comeBack))
 	} else {
 		g.host.Error(o.id)
 	}
@@ -432,7 +436,7 @@
 // is no place for an op that it still owes, nor for one that it answered with an error, unless it is home.
 func (g *Gateway) room(now time.Duration, s *server, o *op) *server {
 	if !s.usable() || now < s.shunnedTill || s == o.erred && s != s.group.primary ||
-		slices.ContainsFunc(o.out, func(x *send) bool { return x.to == s }) || float64(len(s.owed)) >= s.limit ||
+		slices.ContainsFunc(o.out, func(x *send) bool { return x.to == s }) || float64(s.owes(now)) >= s.limit ||
 		o.luck > min(s.limit, math.Pow(cut, *g.strain(s))) {
 		return nil
 	}
@@ -604,7 +608,7 @@
 	if behind := now - g.reached(now, s); result == Acked {
 		s.behind, s.behindAt = min(behind, lag), now
 	} else if result == Miss {
-		s.behind, s.behindAt = max(behind, lag), now
+		s.behind, s.behindAt = 2*max(behind, lag), now
 	}
 }
 
@@ -683,8 +687,8 @@
 		}
 		g.doubt(now, s, Unreachable, false)
 	}
-	if result != Acked && result != ServerFull && result != TimedOut || now == g.pausedAt {
-		return // after a pause of its own nobody knows how late an answer came
+	if result != Acked && result != ServerFull && (result != TimedOut || x.at < s.proved) || now == g.pausedAt {
+		return // after a pause of its own nobody knows how late an answer came; one overtaken may be lost, not late
 	}
 	if result == Acked {
 		if len(o.out) > 0 && o.out[0].number < x.number { // the copy was sooner: one is sent sooner from now on
@@ -785,6 +789,16 @@
 	return s.rumour >= believed*(1+*g.strain(s)) && shyMost*said <= inUse
 }
 
+// owes counts what a server still works on, as far as can be told: not what was overtaken and is overdue.
+func (s *server) owes(now time.Duration) (n int) {
+	for _, x := range s.owed {
+		if x.at >= s.proved || now-x.waitFrom <= overdueAfter*x.op.t.usual() {
+			n++
+		}
+	}
+	return n
+}
+
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
 	return slices.ContainsFunc(s.owed, func(x *send) bool { return now-x.waitFrom > overdueAfter*x.op.t.usual() })
@@ -812,7 +826,7 @@
 			continue
 		}
 		if g.mayCopy(o) {
-			if waited <= g.patience {
+			if waited <= g.patience && s.usable() {
 			} else if len(o.out) > 1 && g.cancels {
 				g.host.Cancel(o.id, o.out[0].number)
 			} else if to := g.choose(now, o); to != nil {
