Recognise an op that is asked for again, and count its target from the first try

As each client has a gateway of its own, its next try comes here: of a session by its key, else as soon after it was sent away (or after the time named) as ops of its type come here, so that fewer than one fresh op is taken for one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,7 +84,8 @@
 	sends                     int
 	erred                     *server       // the first that answered it with an error
 	mark, maybeAt             time.Duration // the position to see; the first send that may have run, if any
-	held, missed, asked, done bool          // missed: a replica turned it away; asked: one was probed for it
+	hopeless                  bool
+	held, missed, asked, done bool // missed: a replica turned it away; asked: one was probed for it
 }
 
 // want is the position that a replica must have reached.
@@ -130,11 +131,24 @@
 }
 
 type group struct {
-	members []*server     // in id order
-	primary *server       // the member with the newest evidence of being it
-	held    []*op         // most valuable first
-	owed    int           // sends out to members
-	heard   time.Duration // when a replica last told its position
+	members   []*server                 // in id order
+	primary   *server                   // the member with the newest evidence of being it
+	held      []*op                     // most valuable first
+	last, gap map[*opType]time.Duration // when the newest op of a type came in; the mean between two
+	owed      int                       // sends out to members
+	heard     time.Duration             // when a replica last told its position
+}
+
+func newGroup() *group {
+	return &group{last: map[*opType]time.Duration{}, gap: map[*opType]time.Duration{}}
+}
+
+// came takes in when ops of a type come.
+func (gr *group) came(now time.Duration, t *opType) {
+	if last, ok := gr.last[t]; ok {
+		gr.gap[t] += (now - last - gr.gap[t]) / ageTurn
+	}
+	gr.last[t] = now
 }
 
 // Gateway decides where every op of one gateway goes.
@@ -161,6 +175,8 @@
 	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
 	crowdedTill, resetAt        time.Duration // connections are taken to be scarce; the last reset
 
+	marked      bool        // clients mark their retries
+	again       []*tryAgain // oldest first
 	seed, draws uint64
 	marks       map[uint64]time.Duration // the newest commit by session, as far as kept one by one
 	floor       time.Duration            // when all marks were last dropped
@@ -173,7 +189,7 @@
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
-		goneMayRun: d.OnlyDrainingBinds, copies: d.SecondCopies, patience: overdueAfter, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
+		goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, copies: d.SecondCopies, patience: overdueAfter, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
 		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
 		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
 		gateways: max(1, float64(d.Gateways)), seed: d.Seed, floor: LongPast,
@@ -197,9 +213,12 @@
 	inGroup uint16, wroteAgo time.Duration, again bool) {
 	g.mind(now)
 	t := &g.types[kind]
-	o := &op{id: id, t: t, group: cmp.Or(g.groups[inGroup], &group{}), session: session, luck: g.chance(),
+	o := &op{id: id, t: t, group: cmp.Or(g.groups[inGroup], newGroup()), session: session, luck: g.chance(),
 		mark: never, maybeAt: never, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
-	if again {
+	o.group.came(now, t)
+	if e := g.expected(now, o, again); e != nil {
+		o.targetAt = e.targetAt
+	} else if again {
 		o.targetAt = now + t.Target/holdShare
 	}
 	switch t.Need {
@@ -238,6 +257,38 @@
 	g.host.Probe(s.id)
 }
 
+// tryAgain is what is known of a client that is likely to ask for the same op again.
+type tryAgain struct {
+	t              *opType
+	group          *group
+	session        uint64
+	at, named      time.Duration // when it was sent away, and until when
+	targetAt, ends time.Duration // its client's latency target and op timeout count from the first try
+}
+
+// expect notes that the client of an op that ended unanswered will likely ask again.
+func (g *Gateway) expect(now time.Duration, o *op, comeBack time.Duration) {
+	if len(g.again) >= rememberedAt {
+		g.again = g.again[:0]
+	}
+	g.again = append(g.again, &tryAgain{t: o.t, group: o.group, session: o.session, at: now, named: now + comeBack,
+		targetAt: o.targetAt, ends: o.targetAt - o.t.Target + o.t.Timeout})
+}
+
+// expected tells whose next try an op is, if any. Where clients do not mark these, one of a session is known by it;
+// any other is taken for one that is as soon after the last, or after the time named, as ops of its type come here.
+func (g *Gateway) expected(now time.Duration, o *op, again bool) (found *tryAgain) {
+	gap := o.group.gap[o.t]
+	g.again = slices.DeleteFunc(g.again, func(e *tryAgain) bool {
+		if found == nil && e.t == o.t && e.group == o.group && e.session == o.session && (again || !g.marked &&
+			(e.session != 0 || now < e.at+gap || now >= e.named && now < e.named+min(gap, g.brief))) {
+			found = e
+		}
+		return found == e || now >= e.ends
+	})
+	return found
+}
+
 // markOf is the position that a session's read must see.
 func (g *Gateway) markOf(now time.Duration, session uint64, wroteAgo time.Duration) time.Duration {
 	if m, ok := g.marks[session]; ok {
@@ -294,7 +345,8 @@
 	} else if o.done {
 		g.forget(o)
 	} else if hopeless {
-		g.giveUp(o)
+		o.hopeless = true
+		g.giveUp(now, o)
 	} else if len(o.out) == 0 {
 		g.place(now, o)
 	}
@@ -316,6 +368,9 @@
 // ClientGone is called when a client has left: no answer is owed any more.
 func (g *Gateway) ClientGone(now time.Duration, id uint32) {
 	if o := g.ops[id]; o != nil {
+		if !o.done && o.t.Effect == Retryable {
+			g.expect(now, o, 0)
+		}
 		g.end(o)
 	}
 }
@@ -340,13 +395,16 @@
 }
 
 // giveUp ends an op at once. Rule 2: the busy reply, which invites another try, only where that is harmless.
-func (g *Gateway) giveUp(o *op) {
+func (g *Gateway) giveUp(now time.Duration, o *op) {
 	if t := o.t; o.maybeAt == never || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
 		back := t.Timeout // it can earn nothing by then
 		if t.LateValue > 0 {
 			back = t.Target
 		}
 		g.host.BusyReply(o.id, min(back, g.comeBack))
+		if !o.hopeless {
+			g.expect(now, o, min(back, g.comeBack))
+		}
 	} else {
 		g.host.Error(o.id)
 	}
@@ -365,7 +423,7 @@
 // place sends an op where the design wants it, holds it, or gives it up.
 func (g *Gateway) place(now time.Duration, o *op) {
 	if now >= g.lastUseful(o) || !g.maySend(now, o) || len(o.group.members) == 0 {
-		g.giveUp(o)
+		g.giveUp(now, o)
 	} else if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
 	} else if !o.held {
@@ -880,7 +938,7 @@
 	s := g.servers[l.ID]
 	if s == nil {
 		if g.groups[l.Group] == nil {
-			g.groups[l.Group] = &group{}
+			g.groups[l.Group] = newGroup()
 			g.listed = append(g.listed, g.groups[l.Group])
 		}
 		s = &server{id: l.ID, group: g.groups[l.Group], started: l.Started - 1, pos: LongPast, roleAt: LongPast,
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -618,7 +618,7 @@
 	for late, back := range map[float64]time.Duration{0: 2 * time.Second, 0.5: 400 * ms} {
 		g, h := start(func(d *Deployment) { d.MaxComeBack, d.OpTypes[anyRead].LateValue = time.Minute, late })
 		do(g, 0, 1, anyRead)
-		if g.giveUp(g.ops[1]); h.comeBack != back {
+		if g.giveUp(0, g.ops[1]); h.comeBack != back {
 			t.Errorf("late value %v: come back in %v", late, h.comeBack)
 		}
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -176,6 +176,7 @@
 			AskWithin:         r.span("rules.must_ask_in"),
 			TellsPosition:     r.flag("family_info.tells_position"),
 			MarksCarried:      v["family_info.write_marks"] == "brought",
+			RetriesMarked:     r.flag("clients.marks_retry"),
 			Probes:            r.flag("limits.probing"),
 			Cancels:           r.flag("limits.may_cancel"),
 			SecondCopies:      r.flag("limits.second_copies"),
