--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,30 +15,28 @@
 
 // The few constants are ratios, so that they fit any deployment.
 const (
-	holdShare     = 4      // part of its latency target that a session read is held, that a marked retry has left
-	fullShare     = 6      // answers later than this part of the latency target show a queue at the server
-	cut           = 0.8    // what a server may owe shrinks so at such an answer
-	scarce        = 128    // brief waits for which trouble with connections is taken to last
-	pause         = 8      // ticks without a timer that show that the gateway itself stood still
-	relief        = 1. / 2 // of a strain for a timely answer: it stands still with one late answer in four
-	startLimit    = 8      // sends owed by a server that nothing is known of
-	fullTurn      = 64     // a histogram is halved at this many entries
-	overdueAfter  = 3      // usual answer times after which an answer is overdue; twice that in all is silence
-	patienceLeast = 1.5    // usual answer times after which a second copy may be sent, at the least
-	patienceTurn  = 1.1    // by which that shrinks for a copy that was of use, and grows for one that was not
-	lostAfter     = 12     // usual answer times, for each send of the op, after which one is called back
-	answered      = 2      // probes that bring a server back that was set aside
-	probeShare    = 0.25   // probes for each op that came in, beyond those that the design asks for
-	ageTurn       = 8      // reports of primaries over which their age is averaged
-	briefShare    = 16     // part of the shortest latency target that counts as a brief wait
-	believed      = 1      // how many others, weighed, must find a server in trouble for it to matter
-	shyShare      = 8      // part of its turn that a replica keeps of which they say so
-	shyMost       = 3      // part of the replicas in use that are passed over for what others say, at most
-	longest       = 32     // brief waits for which a server is passed over at most
-	unspent       = 8      // part of the stated overload time for which a cold server's allowance adds up unused
-	coldCaution   = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
-	never         = time.Duration(math.MaxInt64)
-	rememberedAt  = 4096 // session marks kept one by one; beyond that they fold into one floor
+	holdShare    = 4      // part of its latency target that a session read is held, that a marked retry has left
+	fullShare    = 6      // answers later than this part of the latency target show a queue at the server
+	cut          = 0.8    // what a server may owe shrinks so at such an answer
+	scarce       = 128    // brief waits for which trouble with connections is taken to last
+	pause        = 8      // ticks without a timer that show that the gateway itself stood still
+	relief       = 1. / 2 // of a strain for a timely answer: it stands still with one late answer in four
+	startLimit   = 8      // sends owed by a server that nothing is known of
+	fullTurn     = 64     // a histogram is halved at this many entries
+	overdueAfter = 3      // usual answer times after which an answer is overdue; twice that in all is silence
+	lostAfter    = 12     // usual answer times, for each send of the op, after which one is called back
+	answered     = 2      // probes that bring a server back that was set aside
+	probeShare   = 0.25   // probes for each op that came in, beyond those that the design asks for
+	ageTurn      = 8      // reports of primaries over which their age is averaged
+	briefShare   = 16     // part of the shortest latency target that counts as a brief wait
+	believed     = 1      // how many others, weighed, must find a server in trouble for it to matter
+	shyShare     = 8      // part of its turn that a replica keeps of which they say so
+	shyMost      = 3      // part of the replicas in use that are passed over for what others say, at most
+	longest      = 32     // brief waits for which a server is passed over at most
+	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
+	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
+	never        = time.Duration(math.MaxInt64)
+	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -80,8 +78,9 @@
 	session                   uint64
 	luck, worth               float64       // whether it falls into a share; its value for a unit of time
 	targetAt, holdUntil, due  time.Duration // its client's latency target; held for a replica; its client leaves
-	out                       []*send       // sends without a result: a second only of a retryable op
+	at                        *server       // where a send is out, or nil
 	sends                     int
+	sentAt, waitFrom          time.Duration // the newest send; the same or the end of this gateway's own pause
 	erred                     *server       // the first that answered it with an error
 	mark, maybeAt             time.Duration // the position to see; the first send that may have run, if any
 	hopeless                  bool
@@ -96,14 +95,6 @@
 	return o.mark
 }
 
-// send is one send of an op that has no result yet.
-type send struct {
-	op           *op
-	to           *server
-	number       uint8
-	at, waitFrom time.Duration // when it was sent; the same or the end of this gateway's own pause
-}
-
 type server struct {
 	id                   uint32
 	group                *group
@@ -118,7 +109,7 @@
 	downAt               time.Duration
 	down                 bool          // the newest sign of it was that nobody was there: it will come back cold
 	roleAt               time.Duration // roleAt: how new the newest evidence of the role is
-	owed                 []*send       // oldest first
+	owed                 []*op         // oldest first
 	unanswered           float64       // usual times waited for what was taken back since its last answer
 	heard, proved, cutAt time.Duration // newest sign of life; when what it answered was sent; limit last cut
 	limit                float64       // sends that it may owe; below one, the chance that an op may be sent
@@ -160,16 +151,15 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief, tightest, comeBack           time.Duration // between looks; brief wait; bound; wait that clients honour
-	checked, carried, steady                  bool          // replicas check reads; reads tell marks; only probes do
-	probes, cancels, asks, goneMayRun, copies bool          // allowed; allowed; for positions; 'gone' proves nothing
-	maxSends, firstNeeds                      int           // sends for an op; probes before first use
-	askAt, askWait, askMost                   time.Duration // for the list again, 0: not; the next wait; the longest
-	coldTime, overloadTime                    time.Duration
-	coldFrom, coldMultiple, gateways          float64
+	tick, brief, tightest, comeBack   time.Duration // between looks; brief wait; bound; wait that clients honour
+	checked, carried, steady          bool          // replicas check reads; reads tell marks; only probes do
+	probes, cancels, asks, goneMayRun bool          // allowed; allowed; for positions; 'gone' proves nothing
+	maxSends, firstNeeds              int           // sends for an op; probes before first use
+	askAt, askWait, askMost           time.Duration // for the list again, 0: not; the next wait; the longest
+	coldTime, overloadTime            time.Duration
+	coldFrom, coldMultiple, gateways  float64
 
 	age                         time.Duration // of reports, by what primaries report
-	patience                    float64       // usual answer times after which a second copy is sent
 	sentWarm, warm, probing     float64       // work sent to warm servers of late; to one, per time; probes
 	home, spread                *[256]float64 // the strain on primaries and on replicas, by kind of machine
 	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
@@ -189,7 +179,7 @@
 		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
-		goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, copies: d.SecondCopies, patience: overdueAfter, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
+		goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
 		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
 		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
 		gateways: max(1, float64(d.Gateways)), seed: d.Seed, floor: LongPast,
@@ -309,16 +299,11 @@
 	if s != nil {
 		g.told(now, s, role, pos, now)
 	}
-	if o == nil {
+	if o == nil || o.at == nil || int(number) != o.sends-1 {
 		return
 	}
-	i := slices.IndexFunc(o.out, func(x *send) bool { return x.number == number })
-	if i < 0 {
-		return
-	}
-	x := o.out[i]
-	s, o.out = x.to, slices.Delete(o.out, i, i+1)
-	s.owed = slices.DeleteFunc(s.owed, func(p *send) bool { return p == x })
+	s, o.at = o.at, nil
+	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
 	if result == Acked && o.t.Need == Write && pos != LongPast && !g.carried {
 		if len(g.marks) >= rememberedAt { // all fold into one floor: memory is bounded, no read sees too little
 			g.floor = now
@@ -327,7 +312,7 @@
 		g.marks[o.session] = max(pos, g.markOf(0, o.session, 0))
 	}
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
-	if neverRan && o.maybeAt == x.at {
+	if neverRan && o.maybeAt == o.sentAt {
 		o.maybeAt = never
 	}
 	s.group.owed--
@@ -337,17 +322,14 @@
 	// An error of a second server too is the op's own fault, unless one of the two is in doubt itself.
 	e := o.erred
 	hopeless := result == ServerError && e != nil && e != s && e.wait == 0 && s.wait == 0
-	g.judge(now, x, result, took)
-	g.learn(now, x, result, pos)
+	g.judge(now, s, o, result, took)
+	g.learn(now, s, o, result)
 	o.missed = o.missed || result == Miss
-	if final || result == Acked {
-		g.end(o)
-	} else if o.done {
-		g.forget(o)
-	} else if hopeless {
-		o.hopeless = true
+	if final || o.done || result == Acked {
+		delete(g.ops, id)
+	} else if o.hopeless = hopeless; hopeless {
 		g.giveUp(now, o)
-	} else if len(o.out) == 0 {
+	} else {
 		g.place(now, o)
 	}
 	g.wake(now, s.group)
@@ -357,10 +339,8 @@
 func (g *Gateway) mind(now time.Duration) {
 	if now-g.timedAt > pause*g.tick && now > g.pausedAt {
 		g.pausedAt = now
-		for _, s := range g.servers {
-			for _, x := range s.owed {
-				x.waitFrom = now
-			}
+		for _, o := range g.ops {
+			o.waitFrom = now
 		}
 	}
 }
@@ -379,18 +359,10 @@
 func (g *Gateway) end(o *op) {
 	o.done = true
 	o.unhold()
-	for _, x := range o.out {
-		if g.cancels {
-			g.host.Cancel(o.id, x.number)
-		}
-	}
-	g.forget(o)
-}
-
-// forget drops an op that has ended once nothing of it is out.
-func (g *Gateway) forget(o *op) {
-	if len(o.out) == 0 {
+	if o.at == nil {
 		delete(g.ops, o.id)
+	} else if g.cancels {
+		g.host.Cancel(o.id, uint8(o.sends-1))
 	}
 }
 
@@ -428,6 +400,9 @@
 		o.unhold()
 	} else if !o.held {
 		o.held, o.worth = true, o.t.Value/float64(o.t.usual())
+		if now > o.targetAt-o.t.usual() {
+			o.worth *= o.t.LateValue
+		}
 		h := o.group.held
 		i, _ := slices.BinarySearchFunc(h, o, func(a, b *op) int { return cmp.Compare(b.worth, a.worth) })
 		o.group.held = slices.Insert(h, i, o)
@@ -494,7 +469,7 @@
 // is no place for an op that it still owes, nor for one that it answered with an error, unless it is home.
 func (g *Gateway) room(now time.Duration, s *server, o *op) *server {
 	if !s.usable() || now < s.shunnedTill || s == o.erred && s != s.group.primary ||
-		slices.ContainsFunc(o.out, func(x *send) bool { return x.to == s }) || float64(s.owes(now)) >= s.limit ||
+		float64(s.owes(now)) >= s.limit ||
 		o.luck > min(s.limit, math.Pow(cut, *g.strain(s))) {
 		return nil
 	}
@@ -568,22 +543,19 @@
 	return o.t.Effect == Tokened && o.t.Scope != ScopeZone && now-o.maybeAt < o.t.Window-2*g.tick
 }
 
-// mayCopy is rule 2 for a second send beside the first.
-func (g *Gateway) mayCopy(o *op) bool { return g.copies && o.t.Effect == Retryable }
-
 // send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
 func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
 	// Rule 5: the server is the primary, is known to have what is needed, or checks for itself.
 	fresh := s == o.group.primary || o.t.Need == Write || g.checked || s.pos >= o.want(now)
-	if o.done || !g.maySend(now, o) || len(o.out) > 0 && !(g.mayCopy(o) && len(o.out) == 1) || // rules 1 and 2
+	if o.done || o.at != nil || !g.maySend(now, o) || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
 		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
-	x := &send{op: o, to: s, number: uint8(o.sends), at: now, waitFrom: now}
-	o.maybeAt, o.sends = min(o.maybeAt, now), o.sends+1
+	o.at, o.sentAt, o.waitFrom, o.maybeAt = s, now, now, min(o.maybeAt, now)
+	o.sends++
 	s.group.owed++
-	o.out, s.owed = append(o.out, x), append(s.owed, x)
+	s.owed = append(s.owed, o)
 	g.host.Send(o.id, s.id, 0) // it may be called back
 	return true
 }
@@ -658,11 +630,11 @@
 
 // learn stands in for positions where answers tell none: a replica that answered a read had what it must see,
 // one that turned it away had not.
-func (g *Gateway) learn(now time.Duration, x *send, result Result, pos time.Duration) {
-	if !g.steady || x.to == x.to.group.primary || x.op.t.Need != Session && x.op.t.Need != Bounded {
+func (g *Gateway) learn(now time.Duration, s *server, o *op, result Result) {
+	if !g.steady || s == s.group.primary || o.t.Need != Session && o.t.Need != Bounded {
 		return
 	}
-	s, lag := x.to, max(0, now-x.op.want(x.at))
+	lag := max(0, now-o.want(o.sentAt))
 	if behind := now - g.reached(now, s); result == Acked {
 		s.behind, s.behindAt = min(behind, lag), now
 	} else if result == Miss {
@@ -707,15 +679,14 @@
 }
 
 // judge draws from one result what it says of a server's health and of how much it takes.
-func (g *Gateway) judge(now time.Duration, x *send, result Result, took time.Duration) {
-	s, o := x.to, x.op
+func (g *Gateway) judge(now time.Duration, s *server, o *op, result Result, took time.Duration) {
 	slow := took > o.t.Target/fullShare
 	switch result {
 	case Acked, Miss, ServerFull, ServerError:
-		g.alive(now, s, x.at)
+		g.alive(now, s, o.sentAt)
 	case Cancelled: // another answered sooner, or the op had no more time
-		if x.at >= s.proved {
-			s.unanswered += float64(now-max(x.waitFrom, s.heard)) / float64(o.t.usual())
+		if o.sentAt >= s.proved {
+			s.unanswered += float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
 		}
 	case Reset: // a bad way or a dead process, no lack of connections
 		g.resetAt, g.crowdedTill = now, LongPast
@@ -740,20 +711,15 @@
 	case result == ServerFull:
 		g.doubt(now, s, NoTrouble, false) // it has much to do, which is no trouble of its own
 	case result == NoConnection, result == Reset:
-		if s.wait > 0 && x.at >= s.proved {
+		if s.wait > 0 && o.sentAt >= s.proved {
 			g.lost(now, s)
 		}
 		g.doubt(now, s, Unreachable, false)
 	}
-	if result != Acked && result != ServerFull && (result != TimedOut || x.at < s.proved) || now == g.pausedAt {
+	if result != Acked && result != ServerFull && (result != TimedOut || o.sentAt < s.proved) || now == g.pausedAt {
 		return // after a pause of its own nobody knows how late an answer came; one overtaken may be lost, not late
 	}
 	if result == Acked {
-		if len(o.out) > 0 && o.out[0].number < x.number { // the copy was sooner: one is sent sooner from now on
-			g.patience = max(g.patience/patienceTurn, patienceLeast)
-		} else if len(o.out) > 0 {
-			g.patience = min(g.patience*patienceTurn, lostAfter)
-		}
 		o.t.took.add(took, o.t.Target)
 		s.acked += float64(o.t.usual())
 		if slow && now-s.cutAt > took {
@@ -849,8 +815,8 @@
 
 // owes counts what a server still works on, as far as can be told: not what was overtaken and is overdue.
 func (s *server) owes(now time.Duration) (n int) {
-	for _, x := range s.owed {
-		if x.at >= s.proved || now-x.waitFrom <= overdueAfter*x.op.t.usual() {
+	for _, o := range s.owed {
+		if o.sentAt >= s.proved || now-o.waitFrom <= overdueAfter*o.t.usual() {
 			n++
 		}
 	}
@@ -859,16 +825,16 @@
 
 // overdue tells whether a server owes an answer for longer than its op type's answers take.
 func (s *server) overdue(now time.Duration) bool {
-	return slices.ContainsFunc(s.owed, func(x *send) bool { return now-x.waitFrom > overdueAfter*x.op.t.usual() })
+	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
 }
 
 // silent tells whether a server that owes answers has been quiet for longer than chance explains. Where it
 // answered what was sent later, a connection is silent and not the server.
 func (s *server) silent(now time.Duration, least float64) bool {
 	sum, longest := s.unanswered, s.unanswered
-	for _, x := range s.owed {
-		if x.at >= s.proved {
-			wait := float64(now-max(x.waitFrom, s.heard)) / float64(x.op.t.usual())
+	for _, o := range s.owed {
+		if o.sentAt >= s.proved {
+			wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
 			sum, longest = sum+wait, max(longest, wait)
 		}
 	}
@@ -878,21 +844,11 @@
 // callBack ends sends that are out for so long that their answers must be lost: a connection may be silent as
 // its server answers others. It does so only where the op may be sent again and can still earn something.
 func (g *Gateway) callBack(now time.Duration, s *server) {
-	for _, x := range slices.Clone(s.owed) {
-		o, waited := x.op, float64(now-x.waitFrom)/float64(x.op.t.usual())
-		if o.done || now >= g.lastUseful(o) || x != o.out[len(o.out)-1] {
-			continue
-		}
-		if g.mayCopy(o) {
-			if waited <= g.patience && s.usable() {
-			} else if len(o.out) > 1 && g.cancels {
-				g.host.Cancel(o.id, o.out[0].number)
-			} else if to := g.choose(now, o); to != nil {
-				g.send(now, o, to)
-			}
-		} else if g.cancels && waited > lostAfter*float64(o.sends) && g.maySend(now, o) {
-			x.waitFrom = now
-			g.host.Cancel(o.id, x.number)
+	for _, o := range s.owed {
+		lost := time.Duration(lostAfter*o.sends) * o.t.usual()
+		if g.cancels && !o.done && now-o.waitFrom > lost && now < g.lastUseful(o) && g.maySend(now, o) {
+			o.waitFrom = now
+			g.host.Cancel(o.id, uint8(o.sends-1))
 		}
 	}
 }
