--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,6 +21,7 @@
 	scarce       = 128    // brief waits for which trouble with connections is taken to last
 	pause        = 8      // ticks without a timer that show that the gateway itself stood still
 	relief       = 1. / 2 // of a strain for a timely answer: it stands still with one late answer in four
+	strainMost   = 8      // strains at most: so that it can be seen when it has gone
 	startLimit   = 8      // sends owed by a server that nothing is known of
 	fullTurn     = 64     // a histogram is halved at this many entries
 	overdueAfter = 3      // usual answer times after which an answer is overdue; twice that in all is silence
@@ -732,7 +733,7 @@
 	// can shrink, or did at the last answer, that is left to it: one bad server is not all of them.
 	if late := took > o.t.Target/2 || result == ServerFull; late && s.limit <= 1 {
 		if s.limit == 1 {
-			*g.strain(s)++
+			*g.strain(s) = min(*g.strain(s)+1, strainMost)
 		}
 		if s.limit *= cut; s.limit < cut*cut && result != ServerFull {
 			g.tell(s, Late)
