Take out of the module what no deployment that stays needs

All four deployments carry marks, check reads at the server and let 'gone' bind, and none has reads that stop the log. A session read without a told age now goes to the primary, which no rule forbids.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
 	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
 	never        = time.Duration(math.MaxInt64)
-	rememberedAt = 4096 // session marks kept one by one; beyond that they fold into one floor
+	rememberedAt = 4096 // clients that may ask again are kept; beyond that all are forgotten
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -73,19 +73,19 @@
 func (t *opType) usual() time.Duration { return t.took.mean(t.Target) }
 
 type op struct {
-	id                        uint32
-	t                         *opType
-	group                     *group
-	session                   uint64
-	luck, worth               float64       // whether it falls into a share; its value for a unit of time
-	targetAt, holdUntil, due  time.Duration // its client's latency target; held for a replica; its client leaves
-	at                        *server       // where a send is out, or nil
-	sends                     int
-	sentAt, waitFrom          time.Duration // the newest send; the same or the end of this gateway's own pause
-	erred                     *server       // the first that answered it with an error
-	mark, maybeAt             time.Duration // the position to see; the first send that may have run, if any
-	hopeless                  bool
-	held, missed, asked, done bool // missed: a replica turned it away; asked: one was probed for it
+	id                       uint32
+	t                        *opType
+	group                    *group
+	session                  uint64
+	luck, worth              float64       // whether it falls into a share; its value for a unit of time
+	targetAt, holdUntil, due time.Duration // its client's latency target; held for a replica; its client leaves
+	at                       *server       // where a send is out, or nil
+	sends                    int
+	sentAt, waitFrom         time.Duration // the newest send; the same or the end of this gateway's own pause
+	erred                    *server       // the first that answered it with an error
+	mark, maybeAt            time.Duration // the position to see; the first send that may have run, if any
+	hopeless                 bool
+	held, missed, done       bool // missed: a replica turned it away
 }
 
 // want is the position that a replica must have reached.
@@ -111,12 +111,10 @@
 	down                 bool          // the newest sign of it was that nobody was there: it will come back cold
 	roleAt               time.Duration // roleAt: how new the newest evidence of the role is
 	owed                 []*op         // oldest first
-	unanswered           float64       // usual times waited for what was taken back since its last answer
 	heard, proved, cutAt time.Duration // newest sign of life; when what it answered was sent; limit last cut
 	limit                float64       // sends that it may owe; below one, the chance that an op may be sent
 	allowedAt, nextProbe time.Duration // nextProbe: never while one is out
 	needs                int           // probes to be answered before it is used, at first or when set aside
-	unlisted             bool          // the list no longer names it, where that proves nothing
 	wait, shunnedTill    time.Duration // for which it was last passed over, 0 once it has acked; until when
 	trouble              Trouble       // that was last told of it
 	rumour               float64       // how many other gateways, weighed, say that it is in trouble
@@ -152,13 +150,13 @@
 	groups  map[uint16]*group
 	listed  []*group // in the order in which they were first named
 
-	tick, brief, tightest, comeBack   time.Duration // between looks; brief wait; bound; wait that clients honour
-	checked, carried, steady          bool          // replicas check reads; reads tell marks; only probes do
-	probes, cancels, asks, goneMayRun bool          // allowed; allowed; for positions; 'gone' proves nothing
-	maxSends, firstNeeds              int           // sends for an op; probes before first use
-	askAt, askWait, askMost           time.Duration // for the list again, 0: not; the next wait; the longest
-	coldTime, overloadTime            time.Duration
-	coldFrom, coldMultiple, gateways  float64
+	tick, brief, comeBack            time.Duration // between looks; brief wait; wait that clients honour
+	checked, carried, steady         bool          // replicas check reads; reads tell marks; only probes tell positions
+	probes, cancels, marked          bool          // allowed; allowed; clients mark their retries
+	maxSends, firstNeeds             int           // sends for an op; probes before first use
+	askAt, askWait, askMost          time.Duration // for the list again, 0: not; the next wait; the longest
+	coldTime, overloadTime           time.Duration
+	coldFrom, coldMultiple, gateways float64
 
 	age                         time.Duration // of reports, by what primaries report
 	sentWarm, warm, probing     float64       // work sent to warm servers of late; to one, per time; probes
@@ -166,31 +164,27 @@
 	timedAt, walkedAt, pausedAt time.Duration // the last timer; walk of all groups; end of a pause of its own
 	crowdedTill, resetAt        time.Duration // connections are taken to be scarce; the last reset
 
-	marked      bool        // clients mark their retries
 	again       []*tryAgain // oldest first
 	seed, draws uint64
-	marks       map[uint64]time.Duration // the newest commit by session, as far as kept one by one
-	floor       time.Duration            // when all marks were last dropped
 }
 
 // New makes a gateway's decision module. The host hands over the cached list next.
 func New(h Host, d *Deployment) *Gateway {
 	g := &Gateway{
 		host: h, ops: map[uint32]*op{}, servers: map[uint32]*server{}, groups: map[uint16]*group{},
-		tick: max(d.Round, time.Millisecond), brief: time.Hour, tightest: time.Hour,
+		tick: max(d.Round, time.Millisecond), brief: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
-		asks: d.Probes && d.ReportsPosition && d.Checks == Unchecked, steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
-		goneMayRun: d.OnlyDrainingBinds, marked: d.RetriesMarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
+		steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
+		marked: d.RetriesMarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
 		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
 		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
-		gateways: max(1, float64(d.Gateways)), seed: d.Seed, floor: LongPast,
+		gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast,
-		home: new([256]float64), spread: new([256]float64), marks: map[uint64]time.Duration{},
+		home: new([256]float64), spread: new([256]float64),
 	}
 	for _, t := range d.OpTypes {
 		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{OpType: t})
-		g.tightest = min(g.tightest, cmp.Or(t.Bound, time.Hour))
 	}
 	if g.askWait = g.brief; d.ListAsked {
 		h.WatchList()
@@ -214,7 +208,12 @@
 	}
 	switch t.Need {
 	case Session:
-		o.mark = g.markOf(now, session, wroteAgo)
+		// The age is a float: its rounding is kept on the safe side. Where none is told only the primary will do.
+		if o.mark = now - wroteAgo + wroteAgo>>20; !g.carried {
+			o.mark = never
+		} else if wroteAgo <= 0 {
+			o.mark = LongPast
+		}
 	case Bounded:
 		o.holdUntil = now + g.brief
 	case Any:
@@ -280,18 +279,6 @@
 	return found
 }
 
-// markOf is the position that a session's read must see.
-func (g *Gateway) markOf(now time.Duration, session uint64, wroteAgo time.Duration) time.Duration {
-	if m, ok := g.marks[session]; ok {
-		return m
-	} else if !g.carried {
-		return g.floor
-	} else if wroteAgo <= 0 {
-		return LongPast
-	}
-	return now - wroteAgo + wroteAgo>>20 // the age is a float: keep its rounding on the safe side
-}
-
 // Answer is called once for each send, when it has ended.
 func (g *Gateway) Answer(now time.Duration, id uint32, number uint8, at uint32, result Result,
 	took time.Duration, final bool, role Role, pos time.Duration) {
@@ -305,13 +292,6 @@
 	}
 	s, o.at = o.at, nil
 	s.owed = slices.DeleteFunc(s.owed, func(p *op) bool { return p == o })
-	if result == Acked && o.t.Need == Write && pos != LongPast && !g.carried {
-		if len(g.marks) >= rememberedAt { // all fold into one floor: memory is bounded, no read sees too little
-			g.floor = now
-			clear(g.marks)
-		}
-		g.marks[o.session] = max(pos, g.markOf(0, o.session, 0))
-	}
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Miss
 	if neverRan && o.maybeAt == o.sentAt {
 		o.maybeAt = never
@@ -430,32 +410,16 @@
 		return g.scout(now, o)
 	case o.t.Need == Write || o.t.Need == Fresh:
 		return g.room(now, home, o)
-	// A read that outlasts a bound may hold up the log: such reads share the replica that is furthest behind.
-	case o.t.Need == Any && o.t.usual() > g.tightest && now < o.holdUntil:
-		return g.room(now, g.furthest(now, o, -1), o)
 	}
 	if s = g.rotate(now, o, o.want(now)); s == nil && g.checked && !o.missed {
-		s = g.furthest(now, o, 1)
+		s = g.furthest(now, o)
 	}
-	if s == nil && now < o.holdUntil {
-		g.ask(now, o)
-	} else if s == nil {
+	if s == nil && now >= o.holdUntil {
 		s = g.room(now, home, o)
 	}
 	return s
 }
 
-// ask probes a replica for its position, once for a held read, where answers come too seldom to tell it.
-func (g *Gateway) ask(now time.Duration, o *op) {
-	if !g.asks || o.asked || now-o.group.heard <= o.holdUntil-now {
-		return
-	}
-	if s := g.rotate(now, o, LongPast); s != nil && s.nextProbe <= now {
-		o.asked, s.nextProbe = true, never
-		g.host.Probe(s.id)
-	}
-}
-
 func (s *server) usable() bool { return s != nil && s.state == Ready && s.needs == 0 }
 
 // strain is how late primaries, or replicas, of a kind of machine are: one may answer too seldom to tell.
@@ -513,11 +477,10 @@
 	return best
 }
 
-// furthest is the replica with room that is furthest ahead (way 1), or the warm one furthest behind (-1).
-func (g *Gateway) furthest(now time.Duration, o *op, way time.Duration) (best *server) {
+// furthest is the replica with room that is furthest ahead.
+func (g *Gateway) furthest(now time.Duration, o *op) (best *server) {
 	for _, s := range o.group.members {
-		fits := way > 0 && g.room(now, s, o) != nil || way < 0 && s.usable() && !g.shy(s) && g.ramp(now, s) >= 1
-		if s != o.group.primary && fits && (best == nil || (g.reached(now, s)-g.reached(now, best))*way > 0) {
+		if s != o.group.primary && g.room(now, s, o) != nil && (best == nil || g.reached(now, s) > g.reached(now, best)) {
 			best = s
 		}
 	}
@@ -598,9 +561,7 @@
 	if pos != LongPast {
 		s.pos, s.behind, s.behindAt = max(s.pos, pos), now-max(s.pos, pos), now
 	}
-	if role == Replica {
-		s.group.heard = at
-	} else if role == Primary && pos != LongPast {
+	if role == Primary && pos != LongPast {
 		at = pos
 	}
 	if role == RoleUnknown || at < s.roleAt {
@@ -676,7 +637,7 @@
 	if s.down {
 		s.down, s.began = false, now
 	}
-	s.heard, s.proved, s.unanswered = now, max(s.proved, at), 0
+	s.heard, s.proved = now, max(s.proved, at)
 }
 
 // judge draws from one result what it says of a server's health and of how much it takes.
@@ -685,10 +646,6 @@
 	switch result {
 	case Acked, Miss, ServerFull, ServerError:
 		g.alive(now, s, o.sentAt)
-	case Cancelled: // another answered sooner, or the op had no more time
-		if o.sentAt >= s.proved {
-			s.unanswered += float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
-		}
 	case Reset: // a bad way or a dead process, no lack of connections
 		g.resetAt, g.crowdedTill = now, LongPast
 		g.lost(now, s)
@@ -832,7 +789,7 @@
 // silent tells whether a server that owes answers has been quiet for longer than chance explains. Where it
 // answered what was sent later, a connection is silent and not the server.
 func (s *server) silent(now time.Duration, least float64) bool {
-	sum, longest := s.unanswered, s.unanswered
+	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
 		if o.sentAt >= s.proved {
 			wait := float64(now-max(o.waitFrom, s.heard)) / float64(o.t.usual())
@@ -904,10 +861,6 @@
 		s.group.members = append(s.group.members, s)
 		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	}
-	if s.unlisted = l.State == Gone && g.goneMayRun && s.state == Ready; s.unlisted {
-		g.doubt(now, s, NoTrouble, true)
-		return
-	}
 	again := s.started != l.Started // it has started again: what was known of it holds no more
 	if again {
 		s.started, s.began, s.down = l.Started, l.Started, false
@@ -925,10 +878,10 @@
 	}
 }
 
-// forgets drops a server that is gone, or for long in doubt where that proves nothing, once nothing is out.
+// forgets drops a server that is gone once nothing of it is out.
 func (g *Gateway) forgets(s *server) bool {
-	gone := s.state == Gone || s.unlisted && s != s.group.primary && s.wait >= longest*g.brief
-	if gone = gone && len(s.owed) == 0 && s.nextProbe < never; gone {
+	gone := s.state == Gone && len(s.owed) == 0 && s.nextProbe < never
+	if gone {
 		delete(g.servers, s.id)
 		g.host.Forget(s.id)
 	}
--- a/choice/host.go
+++ b/choice/host.go
@@ -77,28 +77,26 @@
 
 // Deployment is what a gateway is told of its surroundings at start.
 type Deployment struct {
-	OpTypes           []OpType
-	Gateways          int
-	Seed              uint64        // of this gateway's chance
-	Round             time.Duration // the least time between two events
-	ListAsked         bool          // the list comes only when asked for
-	AskWithin         time.Duration // unasked for this long, a gateway is deemed told
-	Checks            Checks
-	TellsPosition     bool          // every answer carries a position
-	MarksCarried      bool          // a session read says how old its last write is
-	RetriesMarked     bool          // clients mark an op that they ask for again
-	Probes            bool          // probing is allowed
-	Cancels           bool          // cancelling is allowed
-	SecondCopies      bool          // a second send of a retryable op may run beside the first
-	MaxComeBack       time.Duration // the longest wait named in a busy reply that a client honours
-	MaxSends          int
-	OnlyDrainingBinds bool
-	ColdFrom          float64       // a server starts at this share of its capacity or more
-	ColdTime          time.Duration // and is warm after this time at the latest
-	OverloadFactor    float64       // sent more than this multiple of present capacity
-	OverloadTime      time.Duration // for this time, a cold server falls over
-	ReportsPosition   bool          // reports carry a position
-	ReportsRole       bool          // reports carry a role
+	OpTypes         []OpType
+	Gateways        int
+	Seed            uint64        // of this gateway's chance
+	Round           time.Duration // the least time between two events
+	ListAsked       bool          // the list comes only when asked for
+	AskWithin       time.Duration // unasked for this long, a gateway is deemed told
+	Checks          Checks
+	TellsPosition   bool          // every answer carries a position
+	MarksCarried    bool          // a session read says how old its last write is
+	RetriesMarked   bool          // clients mark an op that they ask for again
+	Probes          bool          // probing is allowed
+	Cancels         bool          // cancelling is allowed
+	MaxComeBack     time.Duration // the longest wait named in a busy reply that a client honours
+	MaxSends        int
+	ColdFrom        float64       // a server starts at this share of its capacity or more
+	ColdTime        time.Duration // and is warm after this time at the latest
+	OverloadFactor  float64       // sent more than this multiple of present capacity
+	OverloadTime    time.Duration // for this time, a cold server falls over
+	ReportsPosition bool          // reports carry a position
+	ReportsRole     bool          // reports carry a role
 }
 
 // State is what the list says of a server.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -232,7 +232,7 @@
 	d := &choice.Deployment{Gateways: w.Gateways.Count, Seed: mix(r.seed ^ uint64(g.index)<<20 ^ uint64(g.life)), Round: w.Gateways.Round,
 		ListAsked: w.List.Asked, AskWithin: w.List.Within, Checks: r.checks, TellsPosition: w.Reports.Answers, MarksCarried: w.Reports.Carried,
 		Probes: w.Gateways.Probes, Cancels: w.Gateways.Cancels, MaxComeBack: w.Gateways.ComeBack, MaxSends: w.Gateways.MaxSends,
-		OnlyDrainingBinds: w.Reports.GoneRuns, ColdFrom: w.Servers.ColdFrom, ColdTime: w.Servers.ColdTime, OverloadFactor: w.Rules.Overload,
+		ColdFrom: w.Servers.ColdFrom, ColdTime: w.Servers.ColdTime, OverloadFactor: w.Rules.Overload,
 		OverloadTime: w.Rules.FallTime, ReportsPosition: w.Reports.Probes, ReportsRole: w.Reports.Probes}
 	for _, t := range r.types {
 		d.OpTypes = append(d.OpTypes, t.told)
