--- a/choice/choice.go
+++ b/choice/choice.go
@@ -611,7 +611,7 @@
 	case result == ServerFull:
 		g.doubt(now, s, NoTrouble, false) // it has much to do, which is no trouble of its own
 	case result == NoConnection, result == Reset:
-		if s.wait > 0 && o.sentAt >= s.proved { // one connection may break by itself
+		if result == NoConnection && s.wait > 0 && o.sentAt >= s.proved { // a reset may be the connection alone
 			g.lost(now, s)
 		}
 		g.doubt(now, s, Unreachable, false)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -535,6 +535,18 @@
 	}
 }
 
+// Guards against servers held to be cold, and starved for their whole warm-up, for connections that break or answers that
+// cannot be read (capitol-assessor on sockets: churn fell from 0.97 to 0.88, rude+garble+fleet from 0.83 to 0.72).
+func TestResetsAloneMakeNoServerCold(t *testing.T) {
+	g, _ := start(nil)
+	for n := range time.Duration(4) {
+		judged(g, time.Second+n*100*ms, g.servers[2], Reset, ms)
+	}
+	if judged(g, 2*time.Second, g.servers[2], Acked, 50*ms); g.ramp(2*time.Second, g.servers[2]) < 1 {
+		t.Error("cold after resets")
+	}
+}
+
 // Guards against a server held to be late for answers that were lost on their way, while it answers what was sent later
 // (jawa-barat-1 big-2): the lost send neither shrinks its limit nor takes up room.
 func TestALostAnswerIsNoLateOne(t *testing.T) {
