A test with instances of both shapes before the same servers; settings checked by word

What the module newly reads (clients.marks_retry) comes from the gateway's configuration; missing, it means what it meant before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,7 +160,7 @@
 		tick: max(d.Round, time.Millisecond), brief: time.Hour,
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
-		marked: d.RetriesMarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
+		marked: !d.RetriesUnmarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
 		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
 		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
 		gateways: max(1, float64(d.Gateways)), seed: d.Seed,
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -583,8 +583,8 @@
 // (agenda-santiago, 12 drawn days: mean G 0.71, and 0.81 where the next tries were marked). Without marks one is known by
 // its session, else by when it comes; what fails at any server is not expected again, or fresh ops are taken for it.
 func TestAnOpAskedForAgainKeepsItsTarget(t *testing.T) {
-	late := func(d *Deployment) { d.OpTypes[anyRead].LateValue = 0 }
-	marked := func(d *Deployment) { late(d); d.RetriesMarked = true }
+	marked := func(d *Deployment) { d.OpTypes[anyRead].LateValue = 0 }
+	late := func(d *Deployment) { marked(d); d.RetriesUnmarked = true }
 	for _, c := range []struct {
 		change        func(*Deployment)
 		first, second uint64 // sessions
--- a/choice/host.go
+++ b/choice/host.go
@@ -86,7 +86,7 @@
 	Checks          Checks
 	TellsPosition   bool          // every answer carries a position
 	MarksCarried    bool          // a session read says how old its last write is
-	RetriesMarked   bool          // clients mark an op that they ask for again
+	RetriesUnmarked bool          // clients do not mark an op that they ask for again
 	Probes          bool          // probing is allowed
 	Cancels         bool          // cancelling is allowed
 	MaxComeBack     time.Duration // the longest wait named in a busy reply that a client honours
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -143,15 +144,15 @@
 	return time.Duration(f), nil
 }
 
-func (r *reader) flag(path string) bool {
-	switch r.Values[path] {
-	case "true":
-		return true
-	case "", "false":
-	default:
-		r.fail(path)
+func (r *reader) flag(path string) bool { return r.word(path, "true", "false") == "true" }
+
+// word reads a value that has to be one of a few, or missing.
+func (r *reader) word(path string, known ...string) string {
+	v := r.Values[path]
+	if v != "" && !slices.Contains(known, v) && r.err == nil {
+		r.err = fmt.Errorf("setting %s=%q has to be one of %s", path, v, strings.Join(known, ", "))
 	}
-	return false
+	return v
 }
 
 func (r *reader) list(path string) []string {
@@ -170,20 +171,20 @@
 		ConnectTimeout: r.span("limits.connect_timeout"),
 		IdleTime:       r.span("limits.keepalive"),
 		Deployment: choice.Deployment{
-			Gateways:       int(r.num("balancers")),
-			Round:          r.span("round"),
-			ListAsked:      v["registry_mode"] == "on_request",
-			AskWithin:      r.span("rules.must_ask_in"),
-			TellsPosition:  r.flag("family_info.tells_position"),
-			MarksCarried:   v["family_info.write_marks"] == "brought",
-			RetriesMarked:  r.flag("clients.marks_retry"),
-			Probes:         r.flag("limits.probing"),
-			Cancels:        r.flag("limits.may_cancel"),
-			MaxSends:       int(r.num("limits.max_attempts")),
-			ColdFrom:       r.num("rules.cold_from"),
-			ColdTime:       r.span("rules.cold"),
-			OverloadFactor: r.num("rules.overload_factor"),
-			OverloadTime:   r.span("rules.fall"),
+			Gateways:        int(r.num("balancers")),
+			Round:           r.span("round"),
+			ListAsked:       r.word("registry_mode", "pushed", "on_request") == "on_request",
+			AskWithin:       r.span("rules.must_ask_in"),
+			TellsPosition:   r.flag("family_info.tells_position"),
+			MarksCarried:    r.word("family_info.write_marks", "brought", "kept") == "brought",
+			RetriesUnmarked: v["clients.marks_retry"] != "" && !r.flag("clients.marks_retry"),
+			Probes:          r.flag("limits.probing"),
+			Cancels:         r.flag("limits.may_cancel"),
+			MaxSends:        int(r.num("limits.max_attempts")),
+			ColdFrom:        r.num("rules.cold_from"),
+			ColdTime:        r.span("rules.cold"),
+			OverloadFactor:  r.num("rules.overload_factor"),
+			OverloadTime:    r.span("rules.fall"),
 		},
 	}
 	if zero, err := strconv.ParseUint(v["family_info.zero"], 10, 64); err == nil {
@@ -201,7 +202,7 @@
 	if r.flag("limits.retry_after") {
 		t.MaxComeBack = r.span("limits.max_retry_after")
 	}
-	switch v["family_info.checks"] {
+	switch r.word("family_info.checks", "silent", "bounce", "await") {
 	case "bounce":
 		t.Checks = choice.Refuses
 	case "await":
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,6 +83,16 @@
 	}
 }
 
+// A deployment that says nothing of marks is taken as before: next tries are marked there or not known at all.
+func TestUnmarkedRetriesAreOnlyWhatTheSettingsSay(t *testing.T) {
+	for value, unmarked := range map[string]bool{"": false, "true": false, "false": true} {
+		told, err := Values{"clients.marks_retry": value}.Read()
+		if err != nil || told.RetriesUnmarked != unmarked {
+			t.Errorf("%q: %+v, %v", value, told, err)
+		}
+	}
+}
+
 func TestMissingValuesReadAsZero(t *testing.T) {
 	told, err := Values{}.Read()
 	if err != nil || !reflect.DeepEqual(told, &Told{}) {
@@ -90,12 +101,21 @@
 }
 
 func TestBadValuesAreNamed(t *testing.T) {
-	for path, value := range map[string]string{"round": "5ms", "limits.probing": "yes", "balancers": "NaN",
+	for path, value := range map[string]string{"round": "5ms", "balancers": "NaN",
 		"rules.fall": "1.5", "family_info.zero": "-1"} {
 		if _, err := (Values{path: value}).Read(); err == nil || err.Error() != "setting "+path+`="`+value+`" does not parse` {
 			t.Errorf("%s=%s: %v", path, value, err)
 		}
 	}
+	for setting, right := range map[string]string{"limits.probing=yes": "true, false", "clients.marks_retry=1": "true, false",
+		"family_info.checks=wait": "silent, bounce, await", "family_info.write_marks=none": "brought, kept",
+		"registry_mode=push": "pushed, on_request"} {
+		path, value, _ := strings.Cut(setting, "=")
+		if _, err := (Values{path: value}).Read(); err == nil ||
+			err.Error() != "setting "+path+`="`+value+`" has to be one of `+right {
+			t.Errorf("%s: %v", setting, err)
+		}
+	}
 	if _, err := FromText([]byte("round")); err == nil {
 		t.Error("a line without a value was read")
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -28,6 +28,9 @@
 
 const maxList = 16 << 20 // bytes of a list
 
+// AskWithin is how long a watch waits where the settings bind a gateway to no time in which it has to ask.
+const AskWithin = 20 * time.Second
+
 // Page is a list of servers as discovery writes it.
 type Page struct {
 	Version uint64  `json:"version"`
@@ -168,9 +171,6 @@
 	c := &Client{names: names, taker: taker, counts: counts, within: told.AskWithin / 4, wait: told.AskWithin,
 		held: true, version: version, moves: make(chan string, 1), ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
 	c.settle(addr)
-	if told.AskWithin <= 0 {
-		c.within, c.wait = 2*time.Second, 20*time.Second
-	}
 	c.http.Transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}
 	return c
 }
--- a/internal/loopback/clients.go
+++ b/internal/loopback/clients.go
@@ -35,6 +35,7 @@
 	w        *emulator.World
 	gateways []string // addresses; the front's view of who is there is the rig's
 	front    func(home int) (index int)
+	says     func(home int) bool // whether a try says that it is another one
 	plan     []planned
 	start    time.Time
 	running  sync.WaitGroup
@@ -60,8 +61,12 @@
 	Unsent                 int64                   // ops that this end could not ask in time, for want of room
 	Sends                  int64
 	Gateways               []string // last words of the instances: their counters
+	Homes                  []HomeResult
 }
 
+// HomeResult is what came of the ops of one instance's own clients.
+type HomeResult struct{ Value, Earned float64 }
+
 // TypeResult is what came of one op type.
 type TypeResult struct {
 	Name                       string
@@ -148,10 +153,11 @@
 	}
 }
 
-func newClients(w *emulator.World, seed uint64, gateways []string, front func(int) int) *clients {
-	c := &clients{w: w, gateways: gateways, front: front, plan: draws(w, seed), conns: map[int][]*conn{}, marks: map[int]int64{},
+func newClients(w *emulator.World, seed uint64, gateways []string, front func(int) int, says func(int) bool) *clients {
+	c := &clients{w: w, gateways: gateways, front: front, says: says, plan: draws(w, seed), conns: map[int][]*conn{}, marks: map[int]int64{},
 		fill: make(chan struct{}, mostOpen)}
-	c.res = &Result{Lateness: hdrhistogram.New(1, 60e6, 2), Windows: make([]emulator.Window, int(w.Length/time.Second)+1)}
+	c.res = &Result{Lateness: hdrhistogram.New(1, 60e6, 2), Windows: make([]emulator.Window, int(w.Length/time.Second)+1),
+		Homes: make([]HomeResult, len(gateways))}
 	for _, t := range w.OpTypes {
 		c.res.Types = append(c.res.Types, TypeResult{Name: t.Name, Latency: hdrhistogram.New(1, 120e6, 2)})
 	}
@@ -202,6 +208,7 @@
 	c.res.Lateness.RecordValue(max(1, time.Since(c.start.Add(p.at)).Microseconds()))
 	t.Asked++
 	t.Value += p.t.Value
+	c.res.Homes[p.home].Value += p.t.Value
 	window := &c.res.Windows[min(int(p.at/time.Second), len(c.res.Windows)-1)]
 	window.Asked++
 	window.Value += p.t.Value
@@ -221,6 +228,7 @@
 				earned = p.t.Value * p.t.LateValue
 			}
 			t.Earned += earned
+			c.res.Homes[p.home].Earned += earned
 			window.Earned += earned
 			c.mu.Unlock()
 			return
@@ -272,7 +280,7 @@
 	if p.t.Effect == "tokened" {
 		fields += fmt.Sprintf(",k=%x", p.id)
 	}
-	if try > 0 && c.w.Clients.Marks {
+	if try > 0 && c.says(p.home) {
 		fields += ",r=1"
 	}
 	if p.t.Need == "session" && c.w.Reports.Carried {
--- a/internal/loopback/rig.go
+++ b/internal/loopback/rig.go
@@ -34,6 +34,18 @@
 	Program string        // the gateway's binary
 	Warm    time.Duration // that gateways run before the first op
 	Keep    string        // a folder for the gateways' logs; empty: none are kept
+
+	// Shape, where it is not nil, changes what one instance is told of the deployment, and says whether its clients mark
+	// what they ask for again: during a move instances of two shapes run before the same servers.
+	Shape func(index int, told map[string]any) (marks bool)
+}
+
+// marks tells whether the clients of an instance mark what they ask for again.
+func (d *Day) marks(index int) bool {
+	if d.Shape == nil {
+		return d.World.Clients.Marks
+	}
+	return d.Shape(index, settings(&d.World))
 }
 
 // rig is a day under way.
@@ -104,7 +116,7 @@
 	for _, p := range r.gateways {
 		addrs = append(addrs, p.addr)
 	}
-	c := newClients(&r.World, d.Seed, addrs, r.front)
+	c := newClients(&r.World, d.Seed, addrs, r.front, r.marks)
 	r.check.start = time.Now()
 	stop := make(chan struct{})
 	var faults sync.WaitGroup
@@ -154,7 +166,7 @@
 	if w.Reports.Probes {
 		report = map[string]any{"via": "pull", "names": []any{"x0", "x1"}}
 	}
-	mode := "push"
+	mode := "pushed"
 	if w.List.Asked {
 		mode = "on_request"
 	}
@@ -197,10 +209,6 @@
 	if err != nil {
 		return err
 	}
-	told, err := json.Marshal(settings(&r.World))
-	if err != nil {
-		return err
-	}
 	var seeds []string
 	for i := range r.World.Gateways.Count {
 		p := &process{r: r, index: i}
@@ -216,6 +224,14 @@
 		r.gateways = append(r.gateways, p)
 	}
 	for _, p := range r.gateways {
+		all := settings(&r.World)
+		if r.Shape != nil {
+			r.Shape(p.index, all)
+		}
+		told, err := json.Marshal(all)
+		if err != nil {
+			return err
+		}
 		if err := p.write(known, told, seeds); err != nil {
 			return err
 		}
