--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	unspent      = 8      // part of the stated overload time for which a cold server's allowance adds up unused
 	coldCaution  = 0.8    // of the allowance for a cold server that is used: usual times stand in for work
 	never        = time.Duration(math.MaxInt64)
-	rememberedAt = 4096 // clients that may ask again are kept; beyond that all are forgotten
+	rememberedAt = 4096 // clients that may ask again; beyond that the oldest is forgotten
 )
 
 // histogram counts answer times in bins that double, from 1/32 of a unit to twice that unit.
@@ -85,7 +85,7 @@
 	sentAt, waitFrom             time.Duration // the newest send; that or the end of an own pause
 	erred                        *server       // the first that answered it with an error
 	mark, maybeAt                time.Duration // the position to see; the first send that may have run, if any
-	awayAt, named                time.Duration // when it ended unanswered; the time to come back that was named
+	ends, awayAt, named          time.Duration // of all its tries; when it ended unanswered; till when
 	hopeless, held, missed, done bool          // it fails at any server; a replica turned it away
 }
 
@@ -184,7 +184,8 @@
 	g.mind(now)
 	t := &g.types[kind]
 	o := &op{id: id, t: t, group: cmp.Or(g.groups[inGroup], &group{}), session: session, luck: g.chance(),
-		mark: never, maybeAt: never, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due}
+		mark: never, maybeAt: never, targetAt: now + t.Target, holdUntil: now + t.Target/holdShare, due: due,
+		ends: now + t.Timeout}
 	t.last, t.gap = now, t.gap+(now-t.last-t.gap)/ageTurn
 	g.expected(now, o, again)
 	switch t.Need {
@@ -202,22 +203,20 @@
 	g.ops[id] = o
 	g.probing += probeShare
 	if g.steady {
-		g.look(o.group, now)
+		g.look(now, o.group)
 	}
 	g.place(now, o)
 }
 
 // look probes the member that was looked at the longest ago, where only probes tell positions.
-func (g *Gateway) look(gr *group, now time.Duration) {
-	var s *server
+func (g *Gateway) look(now time.Duration, gr *group) {
+	s := &server{nextProbe: never}
 	for _, m := range gr.members {
-		if m.state == Ready && (s == nil || m.nextProbe < s.nextProbe) {
+		if m.state == Ready && m.nextProbe < s.nextProbe {
 			s = m
 		}
 	}
-	if s != nil {
-		g.probe(now, s)
-	}
+	g.probe(now, s)
 }
 
 // probe spends one probe of the ration, where that is allowed.
@@ -231,11 +230,8 @@
 
 // expect notes that the client of an op that ended unanswered will likely ask again.
 func (g *Gateway) expect(now time.Duration, o *op, comeBack time.Duration) {
-	if len(g.again) >= rememberedAt {
-		g.again = nil
-	}
 	o.awayAt, o.named = now, now+comeBack
-	g.again = append(g.again, o)
+	g.again = append(g.again[max(0, len(g.again)-rememberedAt+1):], o)
 }
 
 // expected counts an op's latency target from its client's first try. Where clients do not mark the
@@ -246,14 +242,17 @@
 		o.targetAt = now + o.t.Target/holdShare
 	}
 	g.again = slices.DeleteFunc(g.again, func(e *op) bool {
-		ends := e.targetAt - e.t.Target + e.t.Timeout // counted from the first try as well
-		is := !found && now < ends && e.t == o.t && e.group == o.group && e.session == o.session &&
+		is := !found && now < e.ends && e.t == o.t && e.group == o.group && e.session == o.session &&
 			(again || !g.marked && (e.session != 0 || now < e.awayAt+gap ||
 				now >= e.named && now < e.named+min(gap, g.brief)))
 		if is {
-			found, o.targetAt = true, e.targetAt
+			found, o.targetAt, o.ends = true, e.targetAt, e.ends
+			// A client that left while its op was worked on waits for less than the op takes: it would do so again.
+			if e.sends > 0 && e.awayAt < e.targetAt && e.awayAt-e.sentAt > e.t.usual()/2 {
+				o.targetAt = now
+			}
 		}
-		return is || now >= ends
+		return is || now >= e.ends
 	})
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -625,6 +625,31 @@
 	}
 }
 
+// Guards against working again and again on what its client does not wait for (agenda-santiago h7c02e3, clients that leave
+// after a third of the target: G 0.50 to 0.73): left while it was worked on, it is given up when it comes again, and as late
+// until its op timeout, but no longer: fresh ops of its session are not shut out.
+func TestWhatItsClientLeftWhileWorkedOnIsGivenUp(t *testing.T) {
+	for stayed, busy := range map[time.Duration]bool{100 * ms: true, 20 * ms: false} {
+		g, h := start(func(d *Deployment) { d.OpTypes[anyRead].LateValue, d.RetriesUnmarked = 0, true })
+		g.Op(0, 1, anyRead, 9, 3*time.Second, 0, 0, false)
+		g.ClientGone(stayed, 1)
+		h.lines, g.timedAt = nil, stayed
+		if g.Op(stayed+ms, 2, anyRead, 9, 3*time.Second, 0, 0, false); (h.lines[0] == "busy 2") != busy {
+			t.Errorf("left after %v: %q", stayed, h.lines)
+		}
+		for id := uint32(3); busy && id < 40; id++ {
+			now := time.Duration(id-2) * 100 * ms
+			h.lines, g.timedAt = nil, now
+			g.Op(now, id, anyRead, 9, now+3*time.Second, 0, 0, false)
+			if refused := h.lines[0] == fmt.Sprintf("busy %d", id); refused != (now < 2*time.Second) {
+				t.Fatalf("at %v: %q", now, h.lines)
+			} else if !refused {
+				break
+			}
+		}
+	}
+}
+
 // Guards against ops of a type that is worth little late taking the place of those that are still in time
 // (jawa-barat-1: the score rose from 0.806 to 0.817).
 func TestAHeldOpThatIsLateCountsWithItsLateValue(t *testing.T) {
