--- a/choice/choice.go
+++ b/choice/choice.go
@@ -854,7 +854,7 @@
 			}
 			if s.silent(now, 2*overdueAfter) {
 				g.doubt(now, s, Silence, true)
-			} else if s != gr.primary && s.rumour >= believed && s.silent(now, overdueAfter) {
+			} else if s.rumour >= believed && s.silent(now, overdueAfter) {
 				g.doubt(now, s, NoTrouble, true) // not told: without the rumour it would be no symptom yet
 			}
 			g.callBack(now, s)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -824,26 +824,17 @@
 		}
 		g, h := start(nil)
 		do(g, 0, 1, anyRead)
-		do(g, 0, 2, writeOnce)
 		if rumoured {
 			g.Rumour(0, 2, 1.5)
-			g.Rumour(0, 1, 1.5)
 		}
 		s, usual := g.servers[2], g.types[anyRead].usual()
 		for at, aside := range map[time.Duration]bool{2 * usual: false, 4 * usual: rumoured, 7 * usual: true} {
 			s.needs, s.wait, s.shunnedTill, h.troubles = 0, 0, 0, nil
 			g.timedAt = at
-			g.servers[1].proved = at + 1 // it has answered since, but for the check below
 			if g.Timer(at, 0); !s.usable() != aside || len(h.troubles) > 0 != (at == 7*usual) {
 				t.Errorf("rumoured %v, after %v: set aside %v, told %q", rumoured, at, !s.usable(), h.troubles)
 			}
 		}
-		// No write leaves a primary for what others say, not even sooner.
-		p := g.servers[1]
-		p.proved, p.heard, g.timedAt = LongPast, 0, 4*usual
-		if g.Timer(4*usual, 0); !p.usable() {
-			t.Errorf("rumoured %v: the primary was set aside sooner", rumoured)
-		}
 	}
 }
 
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -161,9 +161,6 @@
 	}
 	g.down, g.downAt = true, g.w.now
 	g.life++
-	if g.w.gossips != nil {
-		g.w.gossips.ends(g)
-	}
 	for i, l := range g.links {
 		if s := g.w.servers[i]; l != nil && l.life == s.life {
 			s.open -= len(l.idle)
--- a/internal/emulator/gossips.go
+++ b/internal/emulator/gossips.go
@@ -20,39 +20,6 @@
 	false int64
 	past  gossip.Counts // of runs that have ended
 	from  time.Duration // bytes count from here
-
-	rumours map[uint64]*wave // by server, while it spreads
-	knows   map[uint64]int   // by server: how many instances hold something against it
-	deaths  map[int]*wave    // by gateway that has ended
-	known   []time.Duration  // how long rumours took to reach nearly all
-	died    []time.Duration  // how long deaths did
-}
-
-// wave is news on its way through the instances.
-type wave struct {
-	start time.Duration
-	heard map[int]bool
-}
-
-// nearlyAll is the share of instances that news is to reach; after giveUp it counts as having taken that long.
-const (
-	nearlyAll = 0.99
-	giveUp    = 30 * time.Second
-)
-
-// reached notes that an instance has heard; true once nearly all have.
-func (w *wave) reached(gs *gossips, i int) bool {
-	w.heard[i] = true
-	there, heard := 0, 0
-	for j, g := range gs.r.gateways {
-		if !g.down {
-			there++
-			if w.heard[j] {
-				heard++
-			}
-		}
-	}
-	return float64(heard) >= nearlyAll*float64(there-1)
 }
 
 // instance is a gateway's part in the gossip; it is its node's Host.
@@ -70,12 +37,10 @@
 	second  int64 // for the bytes of the present one
 	inIt    int64
 	liar    *liar
-	holds   map[uint64]bool // servers that others speak against
 }
 
 func newGossips(r *run) *gossips {
-	return &gossips{r: r, rng: rand.New(rand.NewPCG(r.seed, 4)), nodes: make([]*instance, r.world.Gateways.Count),
-		rumours: map[uint64]*wave{}, knows: map[uint64]int{}, deaths: map[int]*wave{}}
+	return &gossips{r: r, rng: rand.New(rand.NewPCG(r.seed, 4)), nodes: make([]*instance, r.world.Gateways.Count)}
 }
 
 func address(i int) netip.AddrPort {
@@ -156,14 +121,6 @@
 func (n *instance) carry(to netip.AddrPort, m *gossip.Message) {
 	gs := n.gs
 	n.counter++
-	if n.liar == nil && gs.r.now >= gs.from {
-		for i := range m.Rumours { // a rumour that nobody else has made begins its way
-			t := &m.Rumours[i]
-			if t.Observer == n.name && t.Symptom != gossip.Well && gs.knows[t.Server] == 0 && gs.rumours[t.Server] == nil {
-				gs.rumours[t.Server] = &wave{start: t.Made + n.base, heard: map[int]bool{}}
-			}
-		}
-	}
 	d := gossip.Datagram{From: n.name, Key: n.key, Run: n.run, Counter: n.counter, Message: m}
 	net := &gs.r.world.Network
 	i := indexOf(to)
@@ -222,7 +179,6 @@
 }
 
 func (n *instance) Rumoured(server uint64, weight float64) {
-	n.gs.heard(n, server, weight > 0)
 	if server >= 1 && server <= uint64(len(n.gs.r.servers)) && n.g.decider != nil && n.g.node == n {
 		n.g.decider.Rumour(n.g.here(), uint32(server), weight)
 	}
@@ -230,58 +186,18 @@
 
 func (n *instance) Log(event, name string) {
 	gs := n.gs
-	if event != "member_dead" && event != "member_left" {
+	if event != "member_dead" {
 		return
 	}
 	var i int
 	if _, err := fmt.Sscanf(name, "g%d", &i); err != nil || i >= len(gs.nodes) {
 		return
 	}
-	if w := gs.deaths[i]; w != nil && gs.r.gateways[i].down && w.reached(gs, n.g.index) {
-		gs.died = append(gs.died, gs.r.now-w.start)
-		delete(gs.deaths, i)
-	}
-	if event == "member_dead" && !gs.r.gateways[i].down && gs.r.talks(i, n.g.index) && gs.r.talks(n.g.index, i) {
+	if !gs.r.gateways[i].down && gs.r.talks(i, n.g.index) && gs.r.talks(n.g.index, i) {
 		gs.false++
 	}
 }
 
-// heard keeps how far a rumour has come.
-func (gs *gossips) heard(n *instance, server uint64, holds bool) {
-	if n.holds == nil {
-		n.holds = map[uint64]bool{}
-	}
-	if n.holds[server] != holds {
-		n.holds[server] = holds
-		if holds {
-			gs.knows[server]++
-		} else {
-			gs.knows[server]--
-		}
-	}
-	w := gs.rumours[server]
-	if w == nil || !holds {
-		return
-	}
-	if w.reached(gs, n.g.index) || gs.r.now-w.start > giveUp {
-		gs.known = append(gs.known, min(giveUp, gs.r.now-w.start))
-		delete(gs.rumours, server)
-	}
-}
-
-// ends notes that an instance has ended, and forgets what it held.
-func (gs *gossips) ends(g *gateway) {
-	if n := gs.nodes[g.index]; n != nil {
-		for server, holds := range n.holds {
-			if holds {
-				gs.knows[server]--
-			}
-		}
-		n.holds = nil
-	}
-	gs.deaths[g.index] = &wave{start: gs.r.now, heard: map[int]bool{}}
-}
-
 // trouble takes what the gateway's own module has seen.
 func (n *instance) trouble(server uint32, t choice.Trouble) {
 	if t == choice.NoTrouble {
@@ -305,9 +221,5 @@
 	}
 	res.Sent = float64(gs.sent) / (gs.r.now - start).Seconds() / float64(len(gs.nodes))
 	res.WorstSent = float64(gs.worst)
-	for range gs.deaths {
-		res.DeathsOpen++
-	}
-	res.Known, res.Died = gs.known, gs.died
 	return res
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -82,9 +82,6 @@
 	WorstSent float64 // in the worst second of any instance
 	Counts    gossip.Counts
 	False     int64 // members held dead that were there and could be reached
-
-	Known, Died []time.Duration // how long rumours and deaths took to be known to 99 of 100 instances
-	DeathsOpen  int64           // deaths that had not come so far when the day, or the instance's absence, ended
 }
 
 func newResult(r *run) *Result {
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -239,3 +239,7 @@
 	}
 	return d
 }
+
+// Model counts changes of the emulator or of what it runs that make earlier results unlike later ones. Kept runs of another
+// count are played again.
+const Model = 1
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -226,8 +226,8 @@
 				Value: 3, LateValue: 0.3, Effect: "tokened", Scope: "group", Window: 2 * time.Second, Need: "write", Bound: 200 * time.Millisecond},
 		},
 		Rules: Rules{Grace: 250 * time.Millisecond, Slack: 50 * time.Millisecond, Overload: 4, FallTime: 3 * time.Second},
-		Gossip: Gossip{ProbeEvery: time.Second, ProbeTimeout: 400 * time.Millisecond, SuspectFor: 3 * time.Second,
-			TellEvery: 200 * time.Millisecond, SyncEvery: 20 * time.Second, RumourLife: 60 * time.Second, Members: 512, Rumours: 2048,
-			RumoursPerObserver: 64, ObserversPerServer: 5, Datagram: 1200, DatagramsPerTell: 3, BytesPerSecond: 7000, Warm: 90 * time.Second},
+		Gossip: Gossip{ProbeEvery: time.Second, ProbeTimeout: 400 * time.Millisecond, SuspectFor: 4 * time.Second,
+			TellEvery: 200 * time.Millisecond, SyncEvery: 20 * time.Second, RumourLife: 30 * time.Second, Members: 512, Rumours: 2048,
+			RumoursPerObserver: 64, ObserversPerServer: 5, Datagram: 1200, DatagramsPerTell: 3, BytesPerSecond: 8000, Warm: 90 * time.Second},
 	}
 }
--- a/internal/experiment/metric.go
+++ b/internal/experiment/metric.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 	"strings"
-	"time"
 
 	"gorsewell/internal/emulator"
 )
@@ -26,10 +25,6 @@
 	{"gossip_worst", "bytes sent in the worst second of any honest instance"},
 	{"gossip_false_deaths", "times that a member was held dead that was there and could be reached"},
 	{"gossip_deaths", "times that a member was held dead"},
-	{"gossip_known_ms", "milliseconds until 99 of 100 instances know a rumour on a server that nobody spoke of, mean"},
-	{"gossip_known_worst_ms", "the same, the slowest"},
-	{"gossip_death_ms", "milliseconds until 99 of 100 instances hold an ended member dead, mean"},
-	{"gossip_death_worst_ms", "the same, the slowest"},
 	{"gossip_rumours", "rumours that instances made of their own"},
 	{"gossip_contradicted", "times that an instance saw otherwise than it was told"},
 }
@@ -92,8 +87,6 @@
 	m["troubles_per_second"] = over(troubles, seconds)
 	if g := r.Gossip; g != nil {
 		m["gossip_bytes"], m["gossip_worst"], m["gossip_false_deaths"] = g.Sent, g.WorstSent, float64(g.False)
-		m["gossip_known_ms"], m["gossip_known_worst_ms"] = spans(g.Known)
-		m["gossip_death_ms"], m["gossip_death_worst_ms"] = spans(g.Died)
 		m["gossip_deaths"], m["gossip_rumours"], m["gossip_contradicted"] = float64(g.Counts.Died), float64(g.Counts.RumoursMade), float64(g.Counts.Contradicted)
 	}
 	for i := range r.Types {
@@ -117,21 +110,10 @@
 	return m
 }
 
-// spans gives the mean and the longest, in milliseconds.
-func spans(all []time.Duration) (mean, most float64) {
-	for _, d := range all {
-		ms := float64(d.Microseconds()) / 1000
-		mean += ms / float64(len(all))
-		most = max(most, ms)
-	}
-	return mean, most
-}
-
 // decimals is how exactly a metric is told.
 func decimals(metric string) int {
 	switch name, _, _ := strings.Cut(metric, "."); name {
-	case "rules_broken", "gossip_bytes", "gossip_worst", "gossip_false_deaths", "gossip_deaths", "gossip_rumours", "gossip_contradicted",
-		"gossip_known_ms", "gossip_known_worst_ms", "gossip_death_ms", "gossip_death_worst_ms":
+	case "rules_broken", "gossip_bytes", "gossip_worst", "gossip_false_deaths", "gossip_deaths", "gossip_rumours", "gossip_contradicted":
 		return 0
 	case "p50", "p99", "work_per_op", "troubles_per_second":
 		return 1
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -135,28 +134,15 @@
 	return res, nil
 }
 
-// build is a hash of the program that runs: what another has played is played again.
-var build = sync.OnceValue(func() uint64 {
-	path, err := os.Executable()
-	if err != nil {
-		return rand.Uint64()
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return rand.Uint64()
-	}
-	return xxhash.Sum64(text)
-})
-
 // key is a hash of all that determines a run.
 func (a *Arm) key(seed uint64) string {
 	text, err := json.Marshal(struct {
-		Build   uint64
+		Model   int
 		World   emulator.World
 		Faults  []emulator.Fault
 		Decides emulator.Arm
 		Seed    uint64
-	}{build(), a.World, a.Faults, a.Decides, seed})
+	}{emulator.Model, a.World, a.Faults, a.Decides, seed})
 	if err != nil {
 		panic(err) // nothing in it can fail to be encoded
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,21 +49,16 @@
 
 // Ratios that fit any setup.
 const (
-	helpers       = 3    // members asked to probe one that does not answer
-	checksAtOnce  = 5    // members looked at beside the regular one, for what others say or for an earlier failure
-	accusers      = 3    // that are kept, and passed on, for one member
-	accusedByOne  = 8    // members that one other accuses at a time, as far as it is listened to
-	mostFalse     = 6    // accusations of late that turned out false here, after which another is not listened to
-	chanceOfDeath = 1e-6 // that all probes which hold a member dead were lost by chance
-	mostPatience  = 24   // probes in a row that hold a member dead, whatever is lost
-	mostReturns   = 8    // from the dead that are counted
-	leastFailing  = 0.03 // share of probes that is taken to fail by chance at least, as loss may just have begun
-	failingTurn   = 32   // probes over which the share that fails is kept
-	mostDoubt     = 8    // steps by which a node may slow itself down
-	tellRumour    = 7    // times that an instance tells a rumour
-	tellClaim     = 4    // and a word on a member
-	deadKept      = 90   // probe rounds for which a dead member's name is kept at least, in case its word still goes round
-	burst         = 1    // seconds of the byte budget that may be spent at once
+	helpers      = 3  // members asked to probe one that does not answer
+	checksARound = 6  // members probed beside the regular one because of what others say or of an earlier failure
+	accusers     = 3  // that are kept, and passed on, for one member
+	accusedByOne = 8  // members that one other accuses at a time, as far as it is listened to
+	mostFalse    = 6  // accusations of late that turned out false here, after which another is not listened to
+	mostDoubt    = 8  // steps by which a node may slow itself down
+	tellRumour   = 7  // times that an instance tells a rumour
+	tellClaim    = 4  // and a word on a member
+	deadKept     = 90 // probe rounds for which a dead member's name is kept at least, in case its word still goes round
+	burst        = 1  // seconds of the byte budget that may be spent at once
 )
 
 // Node is one instance's part in the gossip.
@@ -80,13 +75,10 @@
 	seen        map[netip.Addr]map[string]bool // who sees us at which address
 	counter     uint32                         // of probes
 	doubt       int                            // in itself, 0 to mostDoubt
-	failing     float64                        // share of probes that fail of late, of those in turn at members not suspected
-	beyond      uint32                         // the highest incarnation of its name that it has heard of
 	timedAt     time.Duration
 	refutedAt   time.Duration
 	wakeAt      time.Duration
 	nextProbe   time.Duration
-	nextCheck   time.Duration
 	nextTell    time.Duration
 	nextSync    time.Duration
 	nextSweep   time.Duration
@@ -147,9 +139,6 @@
 	if now >= n.nextProbe {
 		n.round(now)
 	}
-	if now >= n.nextCheck && len(n.checks) > 0 {
-		n.look(now)
-	}
 	if now >= n.nextSync {
 		n.nextSync = now + n.set.SyncEvery/2 + n.jitter(n.set.SyncEvery)
 		n.syncWithOne(now)
@@ -174,9 +163,6 @@
 	if len(n.news) > 0 {
 		at = min(at, n.nextTell)
 	}
-	if len(n.checks) > 0 {
-		at = min(at, n.nextCheck)
-	}
 	for _, p := range n.probes {
 		at = min(at, p.due())
 	}
@@ -316,7 +302,6 @@
 	StaleClaims, FutureClaims, ClaimsFull        int64
 	Accusations, AccusationsIgnored, Refutations int64
 	Suspected, Died, Revived, Expelled, Paused   int64
-	Unanswered                                   int64 // pings that were too old when they were read
 	RumoursTaken, RumoursOld, RumoursFuture      int64
 	RumoursStrange, RumoursKnown, RumoursDropped int64 // of observers that are not members; held already; by a bound
 	RumoursMade, RumoursWithdrawn, RumoursHeld   int64
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -39,10 +38,7 @@
 	toldAt   time.Duration // when a run that is not the one held was last told so
 
 	suspectTill time.Duration
-	returns     float64 // from the dead, of the same run
-	returnedAt  time.Duration
 	accusedBy   []accuser
-	accusedAt   time.Duration // by the first of them
 
 	// Its word on servers, as far as this instance could see for itself; both fade.
 	borne, contradicted float64
@@ -148,9 +144,6 @@
 
 // there takes a proof of life.
 func (n *Node) there(now time.Duration, m *member) {
-	for range m.failed { // those were lost by chance, after all
-		n.failing += (1 - n.failing) / failingTurn
-	}
 	m.heardAt, m.failed = now, 0
 	for _, a := range m.accusedBy {
 		if by := n.byName[a.name]; by != nil {
@@ -163,11 +156,10 @@
 		m.state, m.since = alive, now
 	case dead:
 		n.counts.Revived++
-		m.returns, m.returnedAt = min(mostReturns, fade(m.returns, now-m.returnedAt, fadeTime)+1), now
 		m.state, m.since = alive, now
 		n.host.Log("member_back", m.name)
 		n.nextSync = min(n.nextSync, now+n.jitter(n.set.TellEvery)) // it, or we, have been away: compare tables
-		if (m.revived == 0 || now-m.revived > 2*n.set.SuspectFor) && n.affords(now) {
+		if m.revived == 0 || now-m.revived > 2*n.set.SuspectFor {
 			m.revived = now
 			n.tellItems(now, m)
 		}
@@ -239,11 +231,11 @@
 	}
 	if m.run != c.Run {
 		// Another run has other numbers and another clock, and what the earlier one said ends with it.
-		m.run, m.seen, m.clocked, m.knowsUs, m.returns = c.Run, window{}, false, false, 0
+		m.run, m.seen, m.clocked, m.knowsUs = c.Run, window{}, false, false
 		n.table.end(n, now, m)
 		if m.state == dead || m.state == suspect { // that was the run before; whether this one is there will show
 			m.state, m.since, m.failed = alive, now, 0
-			n.check(now, m)
+			n.check(m)
 		}
 	}
 	if n.byKey[m.key] == m {
@@ -359,12 +351,9 @@
 		n.counts.AccusationsIgnored++
 		return
 	}
-	if len(m.accusedBy) == 0 {
-		m.accusedAt = now
-	}
 	m.accusedBy = append(m.accusedBy, accuser{c.By, now})
 	n.spread(now, item{claim: *c, about: m.name})
-	n.check(now, m)
+	n.check(m)
 	if m.state == suspect {
 		n.confirm(now, m)
 	}
@@ -376,47 +365,29 @@
 
 // suspects is this instance's own judgement after a probe that nothing came back from.
 func (n *Node) suspects(now time.Duration, m *member) {
-	if m.failed++; m.state == suspect && now-m.accusedAt < n.grace(now, m)/2 {
-		m.failed = 0 // it may have stood still for a moment, which chance does not explain either
-	}
+	m.failed++
 	switch m.state {
 	case alive:
 		n.counts.Suspected++
 		m.state, m.since = suspect, now
-		m.suspectTill = now + 2*n.grace(now, m)
+		m.suspectTill = now + 2*n.scaled(n.set.SuspectFor)
 		n.confirm(now, m)
-		if len(m.accusedBy) == 0 {
-			m.accusedAt = now
-		}
 		if len(m.accusedBy) < accusers && !n.quiet {
 			c := Claim{Kind: Accused, Name: m.name, Incarnation: m.claim.Incarnation, By: n.set.Name, Key: n.own.Key, Run: n.own.Run, Clock: now}
 			m.accusedBy = append(m.accusedBy, accuser{n.set.Name, now})
 			n.spread(now, item{claim: c, about: m.name})
 		}
-		n.check(now, m)
+		n.check(m)
 	case suspect:
 		n.confirm(now, m)
-		if m.failed >= n.patience() && now >= m.suspectTill {
+		if m.failed >= 2 && now >= m.suspectTill {
 			n.gone(now, m, dead)
 			return
 		}
-		n.check(now, m)
+		n.check(m)
 	}
 }
 
-// grace is the time that a suspected member has to let itself be heard. Who has come back from the dead of late is given more:
-// it may be heard seldom, by a way that works one way only.
-func (n *Node) grace(now time.Duration, m *member) time.Duration {
-	return time.Duration(float64(n.scaled(n.set.SuspectFor)) * (1 + fade(m.returns, now-m.returnedAt, fadeTime)))
-}
-
-// patience is how many own probes in a row must fail for chance to be no explanation, by how many fail of late at members
-// that are there.
-func (n *Node) patience() int {
-	rate := min(0.5, max(leastFailing, n.failing))
-	return min(mostPatience, int(math.Ceil(math.Log(chanceOfDeath)/math.Log(rate))))
-}
-
 // confirm shortens a suspicion that others share.
 func (n *Node) confirm(now time.Duration, m *member) {
 	others := 0
@@ -426,8 +397,7 @@
 		}
 	}
 	if others > 0 {
-		// It has had its time to let itself be heard since the first accusation went round.
-		m.suspectTill = min(m.suspectTill, m.accusedAt+n.grace(now, m))
+		m.suspectTill = min(m.suspectTill, m.since+n.scaled(n.set.SuspectFor))
 	}
 }
 
@@ -446,22 +416,21 @@
 	if c.Run == n.own.Run || c.By != c.Name || n.own.Kind == Left {
 		return
 	}
-	if c.Incarnation < 1<<31 { // no single word uses up all there are
-		n.beyond = max(n.beyond, c.Incarnation)
-	}
 	switch {
-	case !n.joined: // an earlier run of our own, or one that holds the name: joining will show
-	case c.Kind == Left || c.Addr == n.own.Addr: // an earlier run of our own
-		if c.Incarnation >= n.own.Incarnation {
-			n.own.Incarnation = n.beyond
+	case c.Kind == Left || c.Addr == n.own.Addr || !n.joined:
+		// An earlier run of our own, or one that will turn out to hold the name: go beyond it.
+		if c.Incarnation >= n.own.Incarnation && c.Incarnation < 1<<31 {
+			n.own.Incarnation = c.Incarnation
 			n.assert(now)
 		}
-	case newer(c, &n.own): // the name is another's now: that stands until it ends
-		n.counts.OwnName++
-		n.host.Log("name_taken", c.Addr.String())
-		n.quiet, n.joined, n.news = true, false, nil
-		n.joinWait = n.set.SyncEvery
-		n.joinAt = now + n.joinWait
+	case newer(c, &n.own):
+		if !n.quiet {
+			n.counts.OwnName++
+			n.host.Log("name_taken", c.Addr.String())
+		}
+		n.quiet, n.joined = true, false
+		n.joinAt = now + n.set.SyncEvery
+		n.own.Incarnation = c.Incarnation
 	}
 }
 
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -10,17 +10,16 @@
 	m        *member
 	number   uint32
 	began    time.Duration
-	directBy time.Duration // when its own answer is late, and others are asked if it stood in turn; 0 once that is past
+	helpAt   time.Duration // when others are asked, 0 once they have been
 	end      time.Duration
-	asked    int  // helpers
-	nacks    int  // of them that are there but have not heard from the member either
-	inTurn   bool // it was the member's turn; else there was a reason to look at it
-	counts   bool // nothing spoke against the member: whether it answers shows how much is lost
+	asked    int // helpers
+	nacks    int // of them that are there but have not heard from the member either
+	answered bool
 }
 
 func (p *probe) due() time.Duration {
-	if p.directBy > 0 {
-		return min(p.directBy, p.end)
+	if p.helpAt > 0 {
+		return min(p.helpAt, p.end)
 	}
 	return p.end
 }
@@ -36,40 +35,25 @@
 	nacked  bool
 }
 
-// round probes the next member in turn.
+// round probes the next member in turn and those that there is reason to look at.
 func (n *Node) round(now time.Duration) {
 	n.nextProbe = now + n.scaled(n.set.ProbeEvery)
 	if n.quiet || !n.joined {
 		return
 	}
 	if m := n.nextTurn(now); m != nil {
-		n.probe(now, m, true)
-	}
-}
-
-// look probes members that there is reason to look at: twice in a round, some at a time, each for half a round. It asks no
-// others: they look for themselves.
-func (n *Node) look(now time.Duration) {
-	n.nextCheck = now + n.scaled(n.set.ProbeEvery)/2
-	if n.quiet || !n.joined {
-		for _, m := range n.checks {
-			m.checking = false
-		}
-		n.checks = nil
-		return
+		n.probe(now, m)
 	}
 	checks := n.checks
 	n.checks = nil
-	out := 0
-	for _, m := range checks {
-		if out >= checksAtOnce || n.probing(m) {
+	for i, m := range checks {
+		if i >= checksARound {
 			n.checks = append(n.checks, m)
 			continue
 		}
 		m.checking = false
-		if m.state != left {
-			out++
-			n.probe(now, m, false)
+		if m.state != left && !n.probing(m) {
+			n.probe(now, m)
 		}
 	}
 }
@@ -110,22 +94,16 @@
 }
 
 // check has a member probed beside its turn.
-func (n *Node) check(now time.Duration, m *member) {
+func (n *Node) check(m *member) {
 	if !m.checking && len(n.checks) < n.set.Members {
 		m.checking = true
 		n.checks = append(n.checks, m)
-		n.sooner(max(now, n.nextCheck))
 	}
 }
 
-func (n *Node) probe(now time.Duration, m *member, inTurn bool) {
+func (n *Node) probe(now time.Duration, m *member) {
 	n.counter++
-	p := &probe{m: m, inTurn: inTurn, counts: m.state == alive && len(m.accusedBy) == 0, number: n.counter, began: now,
-		directBy: now + n.scaled(n.set.ProbeTimeout), end: now + n.scaled(min(n.set.ProbeEvery, 2*n.set.ProbeTimeout))}
-	if !inTurn {
-		p.end = now + n.scaled(n.set.ProbeEvery)/2
-		p.directBy = min(p.directBy, p.end)
-	}
+	p := &probe{m: m, number: n.counter, began: now, helpAt: now + n.scaled(n.set.ProbeTimeout), end: now + n.scaled(n.set.ProbeEvery)}
 	n.probes = append(n.probes, p)
 	n.send(now, m, n.loaded(now, m, &Message{Kind: Ping, Number: p.number}))
 }
@@ -134,10 +112,9 @@
 func (n *Node) timeOuts(now time.Duration) {
 	var failed []*probe
 	n.probes = slices.DeleteFunc(n.probes, func(p *probe) bool {
-		if p.directBy > 0 && now >= p.directBy {
-			p.directBy = 0
-			n.ended(p, p.m.heardAt < p.began)
-			if p.inTurn && p.m.state != dead { // one that is only tried again is not worth others' datagrams
+		if p.helpAt > 0 && now >= p.helpAt {
+			p.helpAt = 0
+			if p.m.state != dead { // one that is only tried again is not worth others' datagrams
 				for _, h := range n.some(helpers, func(h *member) bool { return h != p.m && h.state == alive }) {
 					p.asked++
 					n.send(now, h, &Message{Kind: PingFor, Number: p.number, Target: p.m.name, TargetAt: p.m.addr})
@@ -169,18 +146,6 @@
 	})
 }
 
-// ended keeps count of how many probes are not answered directly, at members that are there: by chance, that is.
-func (n *Node) ended(p *probe, failed bool) {
-	if !p.counts {
-		return
-	}
-	x := 0.0
-	if failed {
-		x = 1
-	}
-	n.failing += (x - n.failing) / failingTurn
-}
-
 // answer does what a message asks for.
 func (n *Node) answer(now time.Duration, m *member, msg *Message) {
 	if n.quiet {
@@ -188,11 +153,6 @@
 	}
 	switch msg.Kind {
 	case Ping:
-		// Whoever asked so long ago waits no more: an instance that stood still does not answer all that came meanwhile.
-		if m.clock(now)-msg.Clock > n.set.ProbeEvery {
-			n.counts.Unanswered++
-			return
-		}
 		ack := &Message{Kind: Ack, Number: msg.Number}
 		if msg.Prove {
 			ack.Claims = []Claim{n.self(now)}
@@ -200,9 +160,6 @@
 		n.send(now, m, n.loaded(now, m, ack))
 	case Ack:
 		if i := slices.IndexFunc(n.probes, func(p *probe) bool { return p.number == msg.Number && p.m == m }); i >= 0 {
-			if n.probes[i].directBy > 0 {
-				n.ended(n.probes[i], false)
-			}
 			n.probes = slices.Delete(n.probes, i, i+1)
 			n.doubts(-1)
 		} else if i := slices.IndexFunc(n.helping, func(e *errand) bool { return e.number == msg.Number && e.to == m }); i >= 0 {
@@ -211,10 +168,6 @@
 			n.send(now, e.forWhom, &Message{Kind: Ack, Number: e.theirs, Claims: []Claim{m.claim}})
 		}
 	case PingFor:
-		if m.clock(now)-msg.Clock > n.set.ProbeEvery {
-			n.counts.Unanswered++
-			return
-		}
 		if to := n.byName[msg.Target]; to != nil && to != m && len(n.helping) < 4*helpers && to.state != left {
 			n.counter++
 			n.helping = append(n.helping, &errand{number: n.counter, to: to, theirs: msg.Number, forWhom: m,
--- a/internal/gossip/rumour.go
+++ b/internal/gossip/rumour.go
@@ -44,11 +44,10 @@
 }
 
 const (
-	futureShare = 4    // part of a rumour's life by which it may seem to come from the future
-	enough      = 2.0  // weight of others' word beyond which this instance's own adds nothing
-	fewest      = 4    // servers of which one may always find all in trouble
-	lowCredit   = 0.1  // whose word is not passed on any more
-	fairCredit  = 0.25 // of one that has not been found wrong
+	futureShare = 4   // part of a rumour's life by which it may seem to come from the future
+	enough      = 2.0 // weight of others' word beyond which this instance's own adds nothing
+	fewest      = 4   // servers of which one may always find all in trouble
+	lowCredit   = 0.1 // whose word is not passed on any more
 	hardly      = 0.05
 	leastPace   = 4 // rumours that anybody may make in a rumour's life
 	holdOff     = 4 // part of a probe round for which a symptom must last to be told
@@ -350,7 +349,7 @@
 	case s.own.toldAt > 0 && now-s.own.toldAt < n.set.ProbeEvery, !s.own.told && now-s.own.seenAt > n.set.RumourLife/2:
 		return
 	}
-	if n.spokenFor(now, s) {
+	if s.weighed(now) >= enough {
 		s.own.told = false // it ends by its age
 		return
 	}
@@ -361,18 +360,6 @@
 	s.own.told, s.own.toldAt = true, now
 }
 
-// spokenFor tells whether others have said as much as one can say: as many as are kept of one server, none of whom is known
-// to be wrong, or fewer who are known to be right.
-func (n *Node) spokenFor(now time.Duration, s *server) bool {
-	fair := 0
-	for _, e := range s.entries {
-		if e.m != nil && e.Symptom != Well && e.m.credit(now) >= fairCredit {
-			fair++
-		}
-	}
-	return fair >= n.set.ObserversPerServer || s.weighed(now) >= enough
-}
-
 func (n *Node) sick() (count int) {
 	for _, s := range n.serverOrder {
 		if s.own.Symptom != Well {
--- a/internal/gossip/sim_test.go
+++ b/internal/gossip/sim_test.go
@@ -20,7 +20,7 @@
 	nodes []*inhabitant
 	loss  float64
 	cut   func(from, to int) bool
-	sent  func(from int, m *Message)
+	sent  func(from, to int, m *Message)
 }
 
 type event struct {
@@ -79,8 +79,8 @@
 	h.base, h.counter, h.down, h.weights = h.l.now, 0, false, map[uint64]float64{}
 	s := Setup{Name: fmt.Sprintf("n%03d", h.i), Key: KeyID{byte(h.i >> 8), byte(h.i), 1}, Run: h.run, Seed: uint64(h.i), Addr: addrOf(h.i),
 		Seeds: []netip.AddrPort{addrOf(0), addrOf(1)}, ProbeEvery: time.Second, ProbeTimeout: 400 * time.Millisecond,
-		SuspectFor: 3 * time.Second, TellEvery: 200 * time.Millisecond, SyncEvery: 20 * time.Second, RumourLife: 30 * time.Second,
-		Members: 512, Rumours: 2048, RumoursPerObserver: 64, ObserversPerServer: 5, Datagram: 1200, DatagramsPerTell: 3, BytesPerSecond: 7000}
+		SuspectFor: 4 * time.Second, TellEvery: 200 * time.Millisecond, SyncEvery: 20 * time.Second, RumourLife: 30 * time.Second,
+		Members: 512, Rumours: 2048, RumoursPerObserver: 64, ObserversPerServer: 5, Datagram: 1200, DatagramsPerTell: 3, BytesPerSecond: 8000}
 	if change != nil {
 		change(&s)
 	}
@@ -145,12 +145,12 @@
 	if m.Bytes() > h.set.Datagram+28 {
 		l.t.Errorf("a datagram of %d bytes", m.Bytes())
 	}
-	if l.sent != nil {
-		l.sent(h.i, m)
-	}
 	if x == nil || l.cut != nil && l.cut(h.i, x.i) || l.rng.Float64() < l.loss {
 		return
 	}
+	if l.sent != nil {
+		l.sent(h.i, x.i, m)
+	}
 	x.then(l.delay(), func() { x.Received(x.here(), d) })
 	if l.loss > 0 && l.rng.Float64() < l.loss { // and where there is loss, some come twice, out of order
 		x.then(l.delay()*5, func() { x.Received(x.here(), d) })
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -96,8 +96,6 @@
 			continue
 		}
 		switch {
-		case i.rumour != nil && i.rumour.age(now) > n.set.RumourLife:
-			i.told = tellRumour // it has ended
 		case i.rumour != nil:
 			if size := i.rumour.bytes(); size <= part {
 				part -= size
--- a/internal/gossip/sync.go
+++ b/internal/gossip/sync.go
@@ -123,14 +123,11 @@
 		}
 	}
 	add(n.self(now))
-	// It is to know that its name was another's, or is: one that is there at another place.
-	if m := n.byName[own.Name]; m != nil && m.run != own.Run {
+	if m := n.byName[own.Name]; m != nil && m.run != own.Run { // it is to know that its name was, or is, another's
 		add(m.claim)
-		if m.state == alive && m.addr != own.Addr {
+		if m.state == alive {
 			items.Alive = append(items.Alive, nameMark(m.hash))
 		}
-	} else if own.Name == n.set.Name && own.Run != n.own.Run && !n.quiet {
-		items.Alive = append(items.Alive, nameMark(hash(own.Name)))
 	}
 	// From a random place on, so that one who lacks much gets another part from each that it asks.
 	for i, start := 0, n.rng.IntN(len(n.members)+1); i < len(n.members); i++ {
@@ -142,7 +139,7 @@
 		case m.state == alive && missed[nameMark(m.hash)]:
 			items.Alive = append(items.Alive, nameMark(m.hash))
 		case m.state == dead && !missed[nameMark(m.hash)] && has:
-			n.check(now, m) // they have contact with it, or have not missed it yet: look again
+			n.check(m) // they have contact with it, or have not missed it yet: look again
 		}
 		if !has && m.name != own.Name && m.state != dead {
 			add(m.claim)
@@ -221,7 +218,6 @@
 	}
 	if !n.joined {
 		n.joined, n.quiet = true, false
-		n.own.Incarnation = max(n.own.Incarnation, n.beyond)
 		n.joinWait = n.set.ProbeEvery
 		n.host.Log("joined", who)
 		n.assert(now)
@@ -275,7 +271,7 @@
 	contact := marks(items.Alive)
 	for _, m := range n.members {
 		if m.state == dead && contact[nameMark(m.hash)] {
-			n.check(now, m) // somebody has contact with it: look again
+			n.check(m) // somebody has contact with it: look again
 		}
 	}
 }
