A planned stop takes nothing more from a busy client once it has looked its last

Ruled out: the grace for new connections (0.5 s) and ops taken before it, which end in time.

Now a connection looks once for a command on its way when connections begin to be closed, and reads nothing after that. A client that leaves is still seen, by a look that reads nothing. A command that crosses the end stays unread: the end is then a reset, which the protocol's page lets clients ask again after.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -196,6 +196,7 @@
 	window pgwire.Window
 	queue  chan reply // in the order of the commands
 	open   []*exchange.Exchange
+	looked bool         // for a last command, at a planned stop
 	owed   atomic.Int32 // replies queued and not written
 
 	heard   atomic.Int64 // when the last bytes came or went, a span
@@ -217,10 +218,14 @@
 	}
 	close(c.queue)
 	group.Wait()
-	if errors.Is(err, errOver) { // closing on unread bytes would take back what was just written
+	switch { // closing on unread bytes would take back what was just written
+	case errors.Is(err, errOver):
 		c.net.CloseWrite()
 		c.net.SetReadDeadline(time.Now().Add(crossing))
 		io.Copy(io.Discard, c.net)
+	case f.closing.Load() && !errors.Is(err, errGone): // a command that crosses this is not to look read
+		c.net.CloseWrite()
+		time.Sleep(crossing)
 	}
 	c.net.Close()
 	f.mu.Lock()
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -491,3 +491,37 @@
 		t.Errorf("%d connections are left open", n)
 	}
 }
+
+// Who asks again within moments of each answer must not keep a connection of a gateway that stops: what is under way on it
+// when the process is killed is lost. A command that crosses the end is not read, so that its client can tell.
+func TestAPlannedStopTakesNothingMoreFromABusyClient(t *testing.T) {
+	t.Parallel()
+	f, d, addr, stop := front(t, 8, func(x *exchange.Exchange) {
+		time.Sleep(crossing / 4)
+		ack(x)
+	})
+	c := dial(t, addr)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	answered, ended := 0, make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ; ctx.Err() == nil; answered++ {
+			if got, err := c.Query(ask); err != nil || got != "v1" {
+				return // the end of the connection: this one was not taken
+			}
+		}
+	}()
+	stop()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		t.Fatal("the connection was kept")
+	}
+	if n := len(d.taken); n != answered {
+		t.Errorf("%d ops were taken and %d answered", n, answered)
+	}
+	if n := f.counts.ClientOpen.Load(); n != 0 {
+		t.Errorf("%d connections are left open", n)
+	}
+}
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"gorsewell/choice"
@@ -20,6 +21,7 @@
 	errGone  = errors.New("the client has gone")
 	errOver  = errors.New("the connection is to be closed")
 	errQuiet = errors.New("the connection is to be closed, and nothing is under way on it")
+	errLast  = errors.New("the connection is to be closed once what was taken on it is answered")
 	errMany  = errors.New("too many commands at once")
 )
 
@@ -115,6 +117,11 @@
 
 // fill reads more bytes. A read that ends in time is a sign that the connection is to be closed, as all are, or as it has
 // been quiet for too long: then it gives up where the client is owed nothing and no command of it is on its way.
+//
+// At a planned stop it looks once for a command on its way and reads nothing more after that, however busy the connection
+// is: a client that asks again within moments of each answer would else be served on it until the process is killed, and
+// lose what is under way then. What stays unread in the socket makes the end a reset, by which its client knows that it was
+// not taken.
 func (c *conn) fill() error {
 	for last := false; ; {
 		n, err := c.net.Read(c.window.Room())
@@ -126,13 +133,15 @@
 			return nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return errGone
+		case c.owed.Load() > 0 && c.front.closing.Load():
+			return c.last()
 		case c.owed.Load() > 0:
 			last = false
 			c.wait(time.Time{})
-		case last:
+		case last || c.looked:
 			return errQuiet
 		default:
-			last = true
+			last, c.looked = true, c.front.closing.Load()
 			look := crossing
 			if c.leaving.Load() && !c.spoke.Load() {
 				look = time.Millisecond // what it had to say would be here: newcomers do not leave
@@ -142,11 +151,33 @@
 	}
 }
 
-// wait lets reads wait until then. Once connections are being closed, they do so only while the client is owed
-// something: the answerer ends the wait after the last answer.
+// last waits until all that was taken is answered, reading nothing, and tells whether the client leaves before. Behind a
+// command that nobody will read an end does not show: then what is under way is answered all the same.
+func (c *conn) last() error {
+	raw, err := c.net.SyscallConn()
+	if err != nil {
+		return errLast
+	}
+	if c.net.SetReadDeadline(time.Time{}); c.owed.Load() == 0 { // else the answerer ends the wait after the last answer
+		return errLast
+	}
+	gone := false
+	raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
+		return gone || n > 0
+	})
+	if gone {
+		return errGone
+	}
+	return errLast
+}
+
+// wait lets reads wait until then, and not at all once connections are being closed.
 func (c *conn) wait(until time.Time) {
 	c.net.SetReadDeadline(until)
-	if c.front.closing.Load() && c.owed.Load() == 0 {
+	if c.front.closing.Load() {
 		c.net.SetReadDeadline(exchange.Past)
 	}
 }
