A silent watch is given up a second after its wait, and waits differ by chance

What such a watch misses counts as told 2 s after its wait, at 12.0 s, and the grace ends at 12.3 s. Ruled out: the module (it has the list at 12.55 s and obeys it) and discovery (the next call is answered in 25 ms). At fault: changes() in discovery.go let a watch go on for a quarter of the time to ask in (2.5 s) past its wait.

Now a watch is given up a second after its wait. All 60 calls also came in one instant, as gateways start together and wait equally long; a wait is now drawn between half of the time to ask in and all of it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -28,6 +29,10 @@
 
 const maxList = 16 << 20 // bytes of a list
 
+// lateBy is how long after its wait a watch's answer may come. What a watch that has fallen silent misses counts as told 2 s
+// after that wait: by then the whole list is to be here, by another call.
+const lateBy = time.Second
+
 // AskWithin is how long a watch waits where the settings bind a gateway to no time in which it has to ask.
 const AskWithin = 20 * time.Second
 
@@ -158,8 +163,9 @@
 	counts  *counters.Set
 	http    http.Client
 	within  time.Duration // in which a call that does not wait is answered
-	wait    time.Duration // for which a watch waits
-	held    bool          // the version is one that this discovery has counted
+	wait    time.Duration // for which a watch waits at most
+	chance  *rand.Rand
+	held    bool // the version is one that this discovery has counted
 	version uint64
 	ask     chan struct{}
 	watch   chan struct{}
@@ -169,7 +175,7 @@
 // New makes a client of the discovery at addr that holds the list of the version.
 func New(addr string, version uint64, names *Names, told *deployment.Told, taker Taker, counts *counters.Set) *Client {
 	c := &Client{names: names, taker: taker, counts: counts, within: told.AskWithin / 4, wait: told.AskWithin,
-		held: true, version: version, moves: make(chan string, 1), ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
+		chance: rand.New(rand.NewPCG(told.Seed, uint64(version))), held: true, version: version, moves: make(chan string, 1), ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
 	c.settle(addr)
 	c.http.Transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}
 	return c
@@ -237,7 +243,7 @@
 	watching := false
 	for here.Err() == nil {
 		if watching && len(c.ask) == 0 {
-			watching = c.changes(here, c.wait)
+			watching = c.changes(here, c.drawn())
 			continue
 		}
 		select {
@@ -250,12 +256,22 @@
 	}
 }
 
+// drawn is how long a watch waits: gateways that start together, or hear of one change, would else ask in step for good.
+// Discovery answers calls one after another, and turns away those that wait too long.
+func (c *Client) drawn() time.Duration {
+	return c.wait - time.Duration(c.chance.Int64N(int64(c.wait)/2+1))
+}
+
 // changes asks for what is newer than the list held, and waits for it; where none is, for the whole list.
 func (c *Client) changes(ctx context.Context, wait time.Duration) bool {
 	if !c.held {
 		return c.call(ctx, "", c.within)
 	}
-	return c.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", c.version, wait.Milliseconds()), wait+c.within)
+	limit := c.within
+	if wait > 0 {
+		limit = wait + lateBy
+	}
+	return c.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", c.version, wait.Milliseconds()), limit)
 }
 
 // call makes one call and hands over what it told; false if it failed.
