--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -33,7 +33,6 @@
 	rate     float64 // ops a second where the curve's factor is 1
 	shares   []float64
 	weights  []float64 // of groups, added up
-	homes    []float64 // of gateways, added up; nil where they are asked evenly
 	writes   [][]recent
 	marks    map[uint64]time.Duration // by session: the newest commit that its client knows of
 	arrival  int
@@ -61,13 +60,6 @@
 		total += 1 + r.world.Load.Skew*(2*draw(r.seed, 0x5e3, uint64(i))-1)
 		c.weights = append(c.weights, total)
 	}
-	if uneven := r.world.Gateways.Uneven; uneven > 0 {
-		sum := 0.0
-		for i := range r.world.Gateways.Count {
-			sum += lognormal(draw(r.seed, 0x0e7, uint64(i)), uneven)
-			c.homes = append(c.homes, sum)
-		}
-	}
 	c.rate = r.world.Load.PerSecond
 	if c.rate == 0 {
 		capacity := 0.0
@@ -149,10 +141,6 @@
 	count := max(1, w.Clients.Sessions) * w.Gateways.Count
 	session := uint64(c.rng.IntN(count)) + 1
 	home := int(session) % w.Gateways.Count
-	if c.homes != nil { // the same sessions, but some gateways' are asked for more
-		home = pick(c.rng, c.homes)
-		session += uint64(home) - session%uint64(w.Gateways.Count)
-	}
 	c.lastID++
 	q := &request{id: c.lastID, t: t, group: c.w.groups[g], session: session, home: home, at: c.w.now, tries: 0}
 	u1, u2, u3, u4, u5 := c.rng.Float64(), c.rng.Float64(), c.rng.Float64(), c.rng.Float64(), c.rng.Float64()
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -128,7 +128,6 @@
 func (g *gateway) start() {
 	g.boot()
 	g.base = g.w.now
-	g.w.meter.GatewayCame(g.w.now)
 	g.opens()
 }
 
@@ -189,9 +188,6 @@
 		takenAt: g.w.now}
 	g.trials[t.id] = t
 	g.w.check.taken(t)
-	if g.w.spreads(t.req.t) {
-		g.w.meter.Asked(g.w.now, t.req.group.index)
-	}
 	g.w.after(due-g.w.now, func() { g.timeOut(t) })
 	g.decider.Op(g.here(), t.id, uint8(req.t.index), req.session, due-g.base, uint16(req.group.index), wroteAgo, t.again)
 	return t
@@ -280,7 +276,6 @@
 		fail(2 * way)
 	default:
 		s.open++
-		g.w.result.Handshakes++
 		life := s.life
 		took := 2*way*time.Duration(max(1, c.RoundTrips)) + time.Duration(float64(c.Handshake)/s.pace())
 		if took > c.ConnectFor {
@@ -383,9 +378,6 @@
 	}
 	if result == choice.Acked && !t.done {
 		t.done = true
-		if g.w.spreads(a.t) {
-			g.w.meter.Served(a.s.primary())
-		}
 		g.w.check.value(t, a)
 		g.w.check.final(t, finalAcked)
 		g.w.clients.acked(t, a)
--- a/internal/emulator/group.go
+++ b/internal/emulator/group.go
@@ -127,9 +127,6 @@
 func (g *group) promote(s *server) {
 	g.term++
 	g.primary = s
-	for _, m := range g.members {
-		m.fits()
-	}
 	// What was shipped to it is applied before it takes the role; what was not is lost with the old primary.
 	s.backlog, s.applying, s.applied = nil, false, g.w.now
 	g.w.event("server %d is primary of group %d", s.id, g.index)
@@ -160,7 +157,6 @@
 	s.applied = g.w.now - g.w.world.Log.Seed
 	g.rejoin(s)
 	g.w.lists.changed(s)
-	s.came()
 	return s
 }
 
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -10,7 +10,6 @@
 
 	"gorsewell/choice"
 	"gorsewell/internal/gossip"
-	"gorsewell/internal/spread"
 )
 
 // Bounds on what a run keeps to be read.
@@ -30,8 +29,7 @@
 	Windows              []Window // of a second, by when ops were asked
 	Taken, Busy, Errored int64    // ops at gateways, clients' retries among them
 	Retries, Sends       int64
-	Probes, Handshakes   int64
-	Spread               spread.Figures
+	Probes               int64
 	Troubles             [5]int64 // that modules told, by kind; the first counts their ends
 	SendEnds             [9]int64
 	Worked               time.Duration // of servers' cores
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"gorsewell/choice"
-	"gorsewell/internal/spread"
 )
 
 // Arm is what decides in the gateways of a run.
@@ -41,7 +40,6 @@
 	cuts     []*cut
 	gossips  *gossips
 	result   *Result
-	meter    *spread.Meter
 	meanWork time.Duration
 	faults   []*Fault
 	mutant   func(g *gateway) decider // in tests: decides in the policy's place
@@ -96,7 +94,6 @@
 	r.meanWork = time.Duration(work / shares)
 	r.checks = checksOf[w.Reports.Checks]
 	r.result = newResult(r)
-	r.meter = spread.New(w.Servers.Groups)
 	r.check = newChecker(r)
 	r.lists = &lists{w: r, lines: map[*server]*line{}, wrong: map[*server]choice.State{}}
 	for i := range w.Servers.Groups {
@@ -111,9 +108,6 @@
 		}
 		g.primary = g.members[0]
 		g.primary.wasPrimary = true
-		for _, s := range g.members {
-			s.fits()
-		}
 	}
 	for i := range w.Gateways.Count {
 		r.gateways = append(r.gateways, &gateway{w: r, index: i, zone: i % w.Zones})
@@ -144,18 +138,6 @@
 		r.gossips.from = start
 	}
 	r.clients.begin(start)
-	var look func()
-	look = func() {
-		for _, s := range r.servers {
-			if s.runs() {
-				r.meter.Connections(s.open)
-			}
-		}
-		if r.now < start+r.world.Length {
-			r.after(time.Second, look)
-		}
-	}
-	r.at(start+time.Second/2, look)
 	for _, f := range r.faults {
 		f.plan(r, start)
 	}
@@ -169,7 +151,6 @@
 	}
 	end := start + r.world.Length
 	r.run(end)
-	r.result.Spread = r.meter.Figures(r.now)
 	for i := 0; i < 60 && r.clients.open > 0; i++ { // until all is answered, or can no more be
 		end += time.Second
 		r.run(end)
@@ -196,11 +177,6 @@
 	}
 }
 
-// spreads tells whether an op type is one that a replica may serve.
-func (r *run) spreads(t *opType) bool {
-	return t.need == choice.Session || t.need == choice.Bounded || t.need == choice.Any
-}
-
 // way is how long something takes between two zones.
 func (r *run) way(a, b int) time.Duration {
 	d := r.world.Network.Within
@@ -266,4 +242,4 @@
 
 // Model counts changes of the emulator or of what it runs that make earlier results unlike later ones. Kept runs of another
 // count are played again.
-const Model = 2
+const Model = 1
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -78,17 +78,7 @@
 }
 
 // pace is the work that one of its cores does in a second now.
-func (s *server) pace() float64 {
-	c := &s.w.world.Servers
-	pace := s.speed * s.ramp(s.w.now) / s.slow
-	if c.Thrash > 0 && float64(s.busy+len(s.queue)) > c.ThrashAt*float64(s.cores) {
-		pace *= 1 - c.Thrash
-	}
-	if c.ConnTax > 0 && c.Conns > 0 {
-		pace *= 1 - c.ConnTax*min(1, float64(s.open)/float64(c.Conns))
-	}
-	return pace
-}
+func (s *server) pace() float64 { return s.speed * s.ramp(s.w.now) / s.slow }
 
 func (s *server) primary() bool { return s.group.primary == s }
 
@@ -206,9 +196,6 @@
 		s.reply(a, choice.ServerFull)
 	default:
 		s.group.comes(a)
-		if s.w.spreads(a.t) {
-			s.w.meter.Read(s.w.now, int(s.id))
-		}
 		s.begin(a)
 	}
 }
@@ -324,7 +311,6 @@
 	s.busy, s.holding, s.applying = 0, 0, false
 	s.queue, s.stuck, s.waiting, s.window, s.sum, s.hung = nil, nil, nil, nil, 0, false
 	s.w.broken(s, how != vanished)
-	s.fits()
 	s.group.lost(s)
 	s.w.lists.changed(s)
 }
@@ -341,24 +327,6 @@
 	s.backlog = nil
 	s.group.rejoin(s)
 	s.w.lists.changed(s)
-	s.came()
-}
-
-// came tells the meter of a server that starts cold, and when it will be warm.
-func (s *server) came() {
-	s.w.meter.ServerCame(s.w.now, s.group.index)
-	s.fits()
-	life := s.life
-	s.w.after(max(0, s.w.world.Servers.ColdTime), func() {
-		if s.life == life {
-			s.fits()
-		}
-	})
-}
-
-// fits tells the meter whether the server is a place for reads that counts: a replica that is up, not draining and warm.
-func (s *server) fits() {
-	s.w.meter.Fit(s.w.now, s.group.index, int(s.id), s.runs() && !s.draining && !s.hung && !s.primary() && s.ramp(s.w.now) >= 1)
 }
 
 // freezes makes a server take ops and answer none, or go on.
@@ -367,7 +335,6 @@
 		return
 	}
 	s.hung = hung
-	s.fits()
 	if hung {
 		s.group.lost(s)
 		return
@@ -386,7 +353,6 @@
 // drains makes a server refuse what is new; it ends when it has had time to finish.
 func (s *server) drains() {
 	s.draining = true
-	s.fits()
 	s.group.handover(s)
 	s.w.lists.changed(s)
 	life := s.life
--- a/internal/emulator/valid.go
+++ b/internal/emulator/valid.go
@@ -59,11 +59,6 @@
 		f.Wrong(at("servers.speed_spread"), "%v is not within 0 and less than 1", w.Servers.Spread)
 	}
 	share("servers.cold_from", w.Servers.ColdFrom)
-	share("servers.thrash", w.Servers.Thrash)
-	share("servers.connection_tax", w.Servers.ConnTax)
-	if w.Gateways.Uneven < 0 || w.Gateways.Uneven > 10 {
-		f.Wrong(at("gateways.uneven"), "%v is not within 0 to 10", w.Gateways.Uneven)
-	}
 	for name, v := range map[string]float64{"network.loss": w.Network.Loss, "network.twice": w.Network.Twice, "network.reorder": w.Network.Reorder,
 		"clients.honour": w.Clients.Honour, "clients.patience": w.Clients.Patience, "clients.roam": w.Clients.Roam,
 		"clients.follows": w.Clients.Follows, "load.skew": w.Load.Skew} {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -45,28 +45,24 @@
 	Cancels    bool          `yaml:"cancels"`     // are allowed
 	ComeBack   time.Duration `yaml:"come_back"`   // the longest time to come back that clients honour
 	FrontKnows time.Duration `yaml:"front_knows"` // after which the front stops sending to a dead instance
-	Uneven     float64       `yaml:"uneven"`      // standard deviation over the mean of what instances are asked
 }
 
 // Servers is what there is of them and what they are like.
 type Servers struct {
 	Groups     int           `yaml:"groups"`
-	Members    int           `yaml:"members"`        // of a group, the primary included
-	Kinds      []Kind        `yaml:"kinds"`          // of machine; groups take them in turn
-	Spread     float64       `yaml:"speed_spread"`   // machines of a kind differ by so much
-	Queue      int           `yaml:"queue"`          // ops that wait for a core at most, for each core
-	CancelStop bool          `yaml:"cancel_stops"`   // a cancel drops an op that still waits
-	ColdFrom   float64       `yaml:"cold_from"`      // share of its speed at which a machine starts
-	ColdTime   time.Duration `yaml:"cold_time"`      // until it has all of it
-	Conns      int           `yaml:"connections"`    // that a server takes at most; 0: any number
-	Idle       time.Duration `yaml:"idle"`           // for which a server keeps a connection that is not used
-	Handshake  time.Duration `yaml:"handshake"`      // of a server's core for a new connection
-	RoundTrips int           `yaml:"round_trips"`    // of a new connection before the first op
-	ConnectFor time.Duration `yaml:"connect_for"`    // that a gateway waits for a new connection
-	Drain      time.Duration `yaml:"drain"`          // that a draining server stays up
-	Thrash     float64       `yaml:"thrash"`         // share of its speed that a server loses while it holds too many ops
-	ThrashAt   float64       `yaml:"thrash_at"`      // which is more than so many for each core
-	ConnTax    float64       `yaml:"connection_tax"` // share of its speed that a full table of connections takes
+	Members    int           `yaml:"members"`      // of a group, the primary included
+	Kinds      []Kind        `yaml:"kinds"`        // of machine; groups take them in turn
+	Spread     float64       `yaml:"speed_spread"` // machines of a kind differ by so much
+	Queue      int           `yaml:"queue"`        // ops that wait for a core at most, for each core
+	CancelStop bool          `yaml:"cancel_stops"` // a cancel drops an op that still waits
+	ColdFrom   float64       `yaml:"cold_from"`    // share of its speed at which a machine starts
+	ColdTime   time.Duration `yaml:"cold_time"`    // until it has all of it
+	Conns      int           `yaml:"connections"`  // that a server takes at most; 0: any number
+	Idle       time.Duration `yaml:"idle"`         // for which a server keeps a connection that is not used
+	Handshake  time.Duration `yaml:"handshake"`    // of a server's core for a new connection
+	RoundTrips int           `yaml:"round_trips"`  // of a new connection before the first op
+	ConnectFor time.Duration `yaml:"connect_for"`  // that a gateway waits for a new connection
+	Drain      time.Duration `yaml:"drain"`        // that a draining server stays up
 }
 
 // Kind is one kind of machine.
--- a/internal/experiment/metric.go
+++ b/internal/experiment/metric.go
@@ -21,13 +21,6 @@
 	{"retries_per_op", "tries of clients beyond the first, for each op asked for"},
 	{"work_per_op", "milliseconds of servers' work for each op asked for"},
 	{"troubles_per_second", "symptoms that modules told, over all instances"},
-	{"handshakes_per_op", "connections opened to servers, for each op asked for"},
-	{"offload", "share of the session, bounded and any reads served that replicas served"},
-	{"spread_p50", "the most loaded replica's reads over the mean of its group, median over groups and seconds with at least 8 reads"},
-	{"spread_p99", "the same, 99 of 100"},
-	{"herd_p99", "the same in the first 3 s after a server came or came back or a gateway started"},
-	{"idle_share", "seconds of replicas without a read, of those in which their group was asked for at least 8"},
-	{"connections_per_server", "connections that a server has open, in the mean"},
 	{"gossip_bytes", "bytes a second sent by one instance, in the mean"},
 	{"gossip_worst", "bytes sent in the worst second of any honest instance"},
 	{"gossip_false_deaths", "times that a member was held dead that was there and could be reached"},
@@ -92,9 +85,6 @@
 		troubles += float64(n)
 	}
 	m["troubles_per_second"] = over(troubles, seconds)
-	m["handshakes_per_op"] = over(float64(r.Handshakes), r.Asked)
-	m["offload"], m["spread_p50"], m["spread_p99"], m["herd_p99"] = r.Spread.Offload, r.Spread.P50, r.Spread.P99, r.Spread.HerdP99
-	m["idle_share"], m["connections_per_server"] = r.Spread.Idle, r.Spread.Connections
 	if g := r.Gossip; g != nil {
 		m["gossip_bytes"], m["gossip_worst"], m["gossip_false_deaths"] = g.Sent, g.WorstSent, float64(g.False)
 		m["gossip_deaths"], m["gossip_rumours"], m["gossip_contradicted"] = float64(g.Counts.Died), float64(g.Counts.RumoursMade), float64(g.Counts.Contradicted)
@@ -125,7 +115,7 @@
 	switch name, _, _ := strings.Cut(metric, "."); name {
 	case "rules_broken", "gossip_bytes", "gossip_worst", "gossip_false_deaths", "gossip_deaths", "gossip_rumours", "gossip_contradicted":
 		return 0
-	case "p50", "p99", "work_per_op", "troubles_per_second", "connections_per_server":
+	case "p50", "p99", "work_per_op", "troubles_per_second":
 		return 1
 	}
 	return 4
