A change of the list is known within 6 s, whatever call to discovery failed before

Seen by reading, then forced by a test in virtual time over nine illnesses of discovery at 30 moments each (silent, refused, 5xx, reset, cut in the body with and without a length, silent in the body, connections that nobody answers or that are refused; with SIGHUP's move). With the lines as they were:

- discovery.New made net/http's transport with MaxConnsPerHost 2 and its own dialer. net/http does not end a dial with the call that wanted it.
Where nobody answers (a cut, a vanished machine), two dials left behind take up both places and no later call is made: the test's gateway was never told again.
The dial now ends with its call's time.
- A watch waited for 5 to 10 s (the settings' time to ask in) and a second more, so one that fell silent at once cost up to 11 s.
It now waits for 3.4 to 4 s and is given up 0.6 s later.
- Calls were given a quarter of the time to ask in and the module's backoff grew to as much: 25 s there made a change known after more than 6 s, a very short one would have ended every call before its answer.
All times are now cut from the 6 s alone.
- A version that went backwards (a discovery that started anew) was taken for progress; the whole list is asked for instead.

Ruled out: 5xx, resets and cut bodies were noticed at once, and SIGHUP drops whatever is under way. Fails without the mends: dial not ended, wait of 10 s, late answers awaited for 3 s, call time-out of 6 s, backoff by 25 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,12 +29,18 @@
 
 const maxList = 16 << 20 // bytes of a list
 
-// lateBy is how long after its wait a watch's answer may come. What a watch that has fallen silent misses counts as told 2 s
-// after that wait: by then the whole list is to be here, by another call.
-const lateBy = time.Second
+// ToldWithin is how long after a change a gateway counts as told of it, whatever failed before, if discovery had it and could be
+// reached. What is below is cut from it, so that it holds for any time to ask in that the settings may give: a watch that falls
+// silent as soon as it is opened is given up, and another call answered, within that time; and so is a call that was lost, the
+// backoff after it (a quarter at most, as the module is told this time) and the call after that.
+const ToldWithin = 6 * time.Second
 
-// AskWithin is how long a watch waits where the settings bind a gateway to no time in which it has to ask.
-const AskWithin = 20 * time.Second
+const (
+	longestWait = ToldWithin * 2 / 3 // of a watch
+	waitSpread  = ToldWithin / 10    // by which waits are shorter, by chance
+	lateBy      = ToldWithin / 10    // how long after its wait a watch's answer may come
+	callTimeout = ToldWithin / 5     // of a call that does not wait, connecting included
+)
 
 // Page is a list of servers as discovery writes it.
 type Page struct {
@@ -163,7 +169,7 @@
 	counts  *counters.Set
 	http    http.Client
 	within  time.Duration // in which a call that does not wait is answered
-	wait    time.Duration // for which a watch waits at most
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	chance  *rand.Rand
 	held    bool // the version is one that this discovery has counted
 	version uint64
@@ -174,13 +180,21 @@
 
 // New makes a client of the discovery at addr that holds the list of the version.
 func New(addr string, version uint64, names *Names, told *deployment.Told, taker Taker, counts *counters.Set) *Client {
-	c := &Client{names: names, taker: taker, counts: counts, within: told.AskWithin / 4, wait: told.AskWithin,
+	c := &Client{names: names, taker: taker, counts: counts, within: callTimeout, dial: (&net.Dialer{}).DialContext,
 		chance: rand.New(rand.NewPCG(told.Seed, uint64(version))), held: true, version: version, moves: make(chan string, 1), ask: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
 	c.settle(addr)
-	c.http.Transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}
+	c.http.Transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DialContext: c.connect}
 	return c
 }
 
+// connect dials discovery. net/http does not end a dial with the call that wanted it: where nobody answers, two that were left
+// behind would take up all connections that there may be, and no later call be made for as long as the system goes on trying.
+func (c *Client) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	limited, cancel := context.WithTimeout(ctx, c.within)
+	defer cancel()
+	return c.dial(limited, network, addr)
+}
+
 // Ask asks for the whole list, without waiting for it.
 func (c *Client) Ask() { poke(c.ask) }
 
@@ -259,7 +273,7 @@
 // drawn is how long a watch waits: gateways that start together, or hear of one change, would else ask in step for good.
 // Discovery answers calls one after another, and turns away those that wait too long.
 func (c *Client) drawn() time.Duration {
-	return c.wait - time.Duration(c.chance.Int64N(int64(c.wait)/2+1))
+	return longestWait - time.Duration(c.chance.Int64N(int64(waitSpread)+1))
 }
 
 // changes asks for what is newer than the list held, and waits for it; where none is, for the whole list.
@@ -301,7 +315,8 @@
 	}
 	c.failing = false
 	c.counts.Lists.Add(1)
-	c.held, c.version = true, p.Version
+	c.held = p.Full || p.Version >= c.version // else it counts anew, and what it calls changes may not be all
+	c.version = p.Version
 	scope := choice.ListChanges
 	if p.Full {
 		scope = choice.ListFull
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -119,6 +119,31 @@
 	}
 }
 
+// A discovery that has started anew may count from lower: what it calls changes since a version says nothing then.
+func TestAVersionThatGoesBackHasTheWholeListAskedFor(t *testing.T) {
+	asked := make(chan string, 8)
+	c, lists := client(t, time.Second, func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		if r.URL.RawQuery == "" {
+			w.Write([]byte(strings.Replace(page, "41", "7", 1)))
+		} else if strings.HasPrefix(r.URL.RawQuery, "since=40") {
+			w.Write([]byte(`{"version":6,"full":false,"servers":[]}`))
+		} else {
+			<-r.Context().Done()
+		}
+	})
+	c.Watch()
+	lists.next(t)
+	if l := lists.next(t); l.scope != choice.ListFull || len(l.listed) != 3 {
+		t.Errorf("%+v", l)
+	}
+	for _, want := range []string{"since=40", "", "since=7&"} {
+		if got := <-asked; !strings.HasPrefix(got, want) || want == "" && got != "" {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+}
+
 // calls notes the calls that a client makes and answers none.
 type calls chan *http.Request
 
@@ -127,14 +152,13 @@
 	return nil, errors.New("silent")
 }
 
-// What a silent watch misses counts as told 2 s after its wait: it is given up early enough to ask again by then. And watches
-// that were opened together end at times of their own, as discovery answers calls one after another.
-func TestAWatchIsGivenUpSoonAfterItsWaitAndNotInStepWithOthers(t *testing.T) {
-	const within = 10 * time.Second
+// Watches that were opened together end at times of their own, as discovery answers calls one after another. None waits for so
+// long that another call could not be answered within the time after which what a silent one misses counts as told.
+func TestWatchesEndSoonAndNotInStepWithOthers(t *testing.T) {
 	waits := map[int64]bool{}
 	for seed := range uint64(8) {
 		settings := &deployment.Told{}
-		settings.AskWithin, settings.Seed = within, seed
+		settings.AskWithin, settings.Seed = ToldWithin, seed
 		c := New("127.0.0.1:1", 40, NewNames(exchange.StartClock(), settings), settings, make(taker, 8), &counters.Set{})
 		made := make(calls, 1)
 		c.http.Transport = made
@@ -143,8 +167,8 @@
 		ms, _ := strconv.ParseInt(r.URL.Query().Get("timeout_ms"), 10, 64)
 		waits[ms] = true
 		ends, _ := r.Context().Deadline()
-		if over := time.Until(ends) - time.Duration(ms)*time.Millisecond; over > 1500*time.Millisecond || ms < 4999 || ms > 10000 {
-			t.Errorf("a watch of %d ms is given up %v after its wait", ms, over)
+		if gone := time.Until(ends); gone+callTimeout >= ToldWithin || ms < 3000 || gone < time.Duration(ms)*time.Millisecond+lateBy/2 {
+			t.Errorf("a watch of %d ms is given up after %v", ms, gone)
 		}
 	}
 	if len(waits) < 6 {
--- /dev/null
+++ b/internal/discovery/told_test.go
@@ -0,0 +1,224 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/counters"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/dispatch"
+	"gorsewell/internal/exchange"
+)
+
+// source is a discovery in virtual time: a network of its own, and what it does to calls until it is well.
+type source struct {
+	mu      sync.Mutex
+	ill     func(w http.ResponseWriter, r *http.Request) // what is done to a call; nil once it is well
+	dials   func(ctx context.Context) error              // what is done to new connections until then; nil: they come up
+	version int                                          // of the list: 2 once the server drains
+	struck  chan struct{}                                // closed when it falls ill: open watches too
+	changed chan struct{}
+	comes   chan net.Conn
+	closed  chan struct{}
+}
+
+func (s *source) Accept() (net.Conn, error) {
+	select {
+	case c := <-s.comes:
+		return c, nil
+	case <-s.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (s *source) Close() error   { close(s.closed); return nil }
+func (s *source) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *source) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	s.mu.Lock()
+	dials := s.dials
+	s.mu.Unlock()
+	if dials != nil {
+		if err := dials(ctx); err != nil {
+			return nil, err
+		}
+	}
+	near, far := net.Pipe()
+	s.comes <- far
+	return near, nil
+}
+
+func (s *source) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	ill, changed := s.ill, s.changed
+	s.mu.Unlock()
+	if ill != nil {
+		ill(w, r)
+		return
+	}
+	struck := s.struck
+	select {
+	case <-struck: // it has been ill and is well again
+		struck = nil
+	default:
+	}
+	if ms, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms")); ms > 0 && r.URL.Query().Get("since") == s.now() {
+		select {
+		case <-changed:
+		case <-struck:
+			s.mu.Lock()
+			ill := s.ill
+			s.mu.Unlock()
+			ill(w, r)
+			return
+		case <-time.After(time.Duration(ms) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}
+	w.Write(s.page())
+}
+
+func (s *source) now() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strconv.Itoa(s.version)
+}
+
+func (s *source) page() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Appendf(nil, `{"version":%d,"full":true,"servers":[{"id":"s-1","addr":"10.0.0.1:1","state":%q}]}`, s.version,
+		map[int]string{1: "in_service", 2: "terminating"}[s.version])
+}
+
+// well ends the illness. Calls that were lost stay lost. The server drains from then on.
+func (s *source) well() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ill, s.dials, s.version = nil, nil, 2
+	close(s.changed)
+}
+
+// gateway is the module and what drives it, with no servers to speak to. It notes when it was told that the server drains.
+type gateway struct {
+	*dispatch.Dispatch
+	told chan time.Time
+}
+
+func (g *gateway) Listed(scope choice.ListScope, listed []choice.Listed, addrs map[uint32]string) {
+	g.Dispatch.Listed(scope, listed, addrs)
+	if len(listed) > 0 && listed[0].State == choice.Draining {
+		select {
+		case g.told <- time.Now():
+		default:
+		}
+	}
+}
+
+func (*gateway) Send(*exchange.Exchange, uint8, uint32, time.Duration) {}
+func (*gateway) Withdraw(uint32)                                       {}
+func (*gateway) Cancel(*exchange.Exchange, uint8)                      {}
+func (*gateway) Probe(uint32)                                          {}
+func (*gateway) CloseIdle(uint32)                                      {}
+func (*gateway) Locate(map[uint32]string)                              {}
+func (*gateway) Forget(uint32)                                         {}
+
+// toldAfter is how long after its change, made when discovery is well again, a gateway learns of it. Discovery falls ill a
+// while after the gateway has started, and is ill for some time; with moves the gateway is led there by a new configuration then.
+func toldAfter(t *testing.T, s *source, fallsIll, illFor time.Duration, moves bool) (took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		s.version, s.struck, s.changed = 1, make(chan struct{}), make(chan struct{})
+		s.comes, s.closed = make(chan net.Conn), make(chan struct{})
+		ill, dials := s.ill, s.dials
+		s.ill, s.dials = nil, nil
+		server := &http.Server{Handler: s}
+		var waits sync.WaitGroup
+		waits.Go(func() { server.Serve(s) })
+		ctx, cancel := context.WithCancel(t.Context())
+		settings := &deployment.Told{}
+		settings.ListAsked, settings.AskWithin, settings.Seed = true, ToldWithin, uint64(fallsIll)
+		settings.OpTypes = []choice.OpType{{Target: 500 * time.Millisecond, Timeout: time.Second}}
+		clock := exchange.StartClock()
+		g := &gateway{Dispatch: dispatch.New(clock, &counters.Set{}), told: make(chan time.Time, 1)}
+		c := New("10.0.0.9:1", 1, NewNames(clock, settings), settings, g, &counters.Set{})
+		c.dial = s.dial
+		g.Start(g, c, &settings.Deployment, nil, nil)
+		waits.Go(func() { c.Run(ctx) })
+		waits.Go(func() { g.Run(ctx) })
+		time.Sleep(fallsIll)
+		s.mu.Lock()
+		s.ill, s.dials, s.changed = ill, dials, make(chan struct{}) // what is struck hears of no change
+		close(s.struck)
+		s.mu.Unlock()
+		time.Sleep(illFor)
+		if moves {
+			c.Move("10.0.0.10:1")
+		}
+		s.well()
+		well := time.Now()
+		select {
+		case at := <-g.told:
+			took = at.Sub(well)
+		case <-time.After(time.Minute):
+			took = time.Minute
+		}
+		cancel()
+		server.Close()
+		waits.Wait()
+		time.Sleep(time.Minute) // until calls that nobody waits for any more have ended
+	})
+	return took
+}
+
+// A change counts as told 6 s after discovery had it and could be reached, whatever failed before. Each illness strikes at
+// different moments of a watch and of the backoff, and lasts for different times.
+func TestAChangeIsKnownInTimeWhateverFailedBefore(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	lost := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	begun := func(w http.ResponseWriter, length string) {
+		if length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+		w.Write([]byte(`{"version":1,"full":true,"servers":[`))
+		w.(http.Flusher).Flush()
+	}
+	for name, c := range map[string]struct {
+		ill   func(w http.ResponseWriter, r *http.Request)
+		dials func(ctx context.Context) error
+	}{
+		"silent":                     {ill: silent},
+		"refuses":                    {ill: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }},
+		"refuses late":               {ill: func(w http.ResponseWriter, _ *http.Request) { time.Sleep(time.Second); w.WriteHeader(500) }},
+		"resets":                     {ill: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+		"cut inside the body":        {ill: func(w http.ResponseWriter, _ *http.Request) { begun(w, "400"); panic(http.ErrAbortHandler) }},
+		"cut, with no length":        {ill: func(w http.ResponseWriter, _ *http.Request) { begun(w, ""); panic(http.ErrAbortHandler) }},
+		"falls silent in the body":   {ill: func(w http.ResponseWriter, r *http.Request) { begun(w, "400"); silent(w, r) }},
+		"nobody answers a new call":  {ill: silent, dials: lost},
+		"calls are refused outright": {ill: silent, dials: func(context.Context) error { return net.ErrClosed }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			worst := time.Duration(0)
+			for i, illFor := range []time.Duration{time.Millisecond, 2900 * time.Millisecond, 20 * time.Second} {
+				for fallsIll := 100 * time.Millisecond; fallsIll < 5*time.Second; fallsIll += 530 * time.Millisecond {
+					moves := i == 1 && fallsIll < 2*time.Second
+					took := toldAfter(t, &source{ill: c.ill, dials: c.dials}, fallsIll, illFor, moves)
+					if worst = max(worst, took); took >= ToldWithin {
+						t.Errorf("ill after %v for %v, moves %v: told after %v", fallsIll, illFor, moves, took)
+					}
+				}
+			}
+			t.Logf("told after %v at the latest", worst)
+		})
+	}
+}
