What has not begun is taken back when its server drains, starts again or loses its role

Traced through serverside.place, connect, rest and serve: the last look, ready, asked only whether the job was cancelled or its op over.

- a server announced as leaving in between still got the send (rule 3; within the stated grace here only because the time-out is no longer than the grace), and so did probes;
- a server that had started again was sent what it was allowed as a warm one (rule 4);
- a read meant for the primary reached one that had just said that it is none (rule 5).

One mend: the module names the latest time at which a send may begin (Host.Send), and takes back all that has not begun at a server of which it learns more (Host.Withdraw, in line and told). The carrier notes when a job begins; up to then it ends as not sent, which proves that it never ran, and the module places it anew. Rules stay in the module: sendBy is rule 2, the bound in send is rule 5. A client's leaving was looked at already (the op is over) and is kept by a test.

Found on the way: a probe for which no connection was free ended as not sent, and ProbeAnswer took that for a sign of life. Backoff for discovery is drawn between half and all of the wait, as gateways that failed together asked together.

Tests hold a connection half up and let each thing happen there; each fails without its line (job never marked begun, cancelled not looked at, time not looked at at the dial or at the rest, probes left out, what has begun taken back).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,8 +1,7 @@
 package choice
 
-// A Gateway decides for one gateway. Its host makes one with New and calls one method for each thing that
-// happens: List, Op, Answer, Report, ProbeAnswer, ClientGone, Rumour, Timer, with the span since the start.
-// Inside them it acts by calling the Host. That interface and the types handed over at start are in host.go.
+// A Gateway decides for one gateway. Its host makes one with New and calls a method for each event: List, Op,
+// Answer, Report, ProbeAnswer, ClientGone, Rumour, Timer, Stop. It acts by calling the Host, see host.go.
 
 import (
 	"cmp"
@@ -284,8 +283,6 @@
 	o.missed = o.missed || result == Miss
 	if final || o.done || result == Acked {
 		delete(g.ops, id)
-	} else if o.hopeless {
-		g.giveUp(now, o)
 	} else {
 		g.place(now, o)
 	}
@@ -310,6 +307,13 @@
 	}
 }
 
+// Stop is called when the process is about to end: what is held is given up while that can be told.
+func (g *Gateway) Stop(now time.Duration) {
+	for _, o := range g.ops {
+		g.giveUp(now, o)
+	}
+}
+
 // end closes an op. What is still out is called back: queued work may yet be saved.
 func (g *Gateway) end(o *op) {
 	o.done = true
@@ -324,9 +328,8 @@
 // giveUp ends an op at once. Rule 2: the busy reply, which invites another try, only where that is harmless.
 func (g *Gateway) giveUp(now time.Duration, o *op) {
 	if t := o.t; o.maybeAt == never || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
-		// What earns nothing late need not come back before its op timeout.
 		back := min(g.comeBack, map[bool]time.Duration{true: t.Target, false: t.Timeout}[t.LateValue > 0])
-		g.host.BusyReply(o.id, back)
+		g.host.BusyReply(o.id, back) // what earns nothing late need not come back before its op timeout
 		if !o.hopeless {
 			g.expect(now, o, back)
 		}
@@ -347,7 +350,7 @@
 
 // place sends an op where the design wants it, holds it, or gives it up.
 func (g *Gateway) place(now time.Duration, o *op) {
-	if now >= g.lastUseful(o) || !g.maySend(now, o) || len(o.group.members) == 0 {
+	if o.hopeless || now >= min(g.lastUseful(o), g.sendBy(o)) || len(o.group.members) == 0 {
 		g.giveUp(now, o)
 	} else if s := g.choose(now, o); s != nil && g.send(now, o, s) {
 		o.unhold()
@@ -402,8 +405,7 @@
 	return &g.spread[s.kind]
 }
 
-// room returns the server if it is in use and owes less than it takes, below one send by the op's chance. It
-// is no place for an op that it has answered with an error, unless it is home.
+// room returns the server if it can take the op now: not one that erred on it before, unless that is home.
 func (g *Gateway) room(now time.Duration, s *server, o *op) *server {
 	if !s.usable() || now < s.shunnedTill || s == o.erred && s != s.group.primary ||
 		float64(s.owes(now)) >= s.limit || o.luck > min(s.limit, math.Pow(cut, *g.strain(s))) {
@@ -457,8 +459,7 @@
 	return best
 }
 
-// scout finds a member to try a write on while the primary is unknown: in id order, each that has not said
-// within a brief wait that it is none. The last send of an op is kept for the primary once it is known.
+// scout finds a member to try a write on while the primary is unknown, in id order. It keeps one send back.
 func (g *Gateway) scout(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
 		if o.sends < g.maxSends-1 && g.room(now, s, o) != nil && !s.overdue(now) &&
@@ -469,28 +470,32 @@
 	return nil
 }
 
-// maySend is rule 2. A zone that drops repeats does not help: members of a group may stand in several.
-func (g *Gateway) maySend(now time.Duration, o *op) bool {
-	if o.sends >= g.maxSends || o.maybeAt == never || o.t.Effect == Retryable {
-		return o.sends < g.maxSends
+// sendBy is rule 2: until when an op may be sent. A zone that drops repeats may not hold all of a group.
+func (g *Gateway) sendBy(o *op) time.Duration {
+	if o.sends < g.maxSends && (o.maybeAt == never || o.t.Effect == Retryable) {
+		return never
+	} else if o.sends < g.maxSends && o.t.Effect == Tokened && o.t.Scope != ScopeZone {
+		return o.maybeAt + o.t.Window - 2*g.tick
 	}
-	return o.t.Effect == Tokened && o.t.Scope != ScopeZone && now-o.maybeAt < o.t.Window-2*g.tick
+	return LongPast
 }
 
 // send is the gate that every send passes; each rule on sending is enforced here and nowhere else.
 func (g *Gateway) send(now time.Duration, o *op, s *server) bool {
-	// Rule 5: the server is the primary, is known to have what is needed, or checks for itself.
-	fresh := s == o.group.primary || o.t.Need == Write || g.checked || s.pos >= o.want(now)
-	if o.done || o.at != nil || !g.maySend(now, o) || // rules 1 and 2
+	by, fit := g.sendBy(o), s == o.group.primary || o.t.Need == Write || g.checked
+	if !fit && o.t.Need == Bounded { // rule 5, also when it begins: what is known of the server grows old
+		by = min(by, s.pos+o.t.Bound)
+	}
+	if o.done || o.at != nil || now >= by || // rules 1 and 2
 		s.state != Ready || s.group != o.group || // rule 3, with no use of the grace
-		!fresh || !g.coldTakes(now, o, s) { // rules 5 and 4
+		!fit && s.pos < o.want(now) || !g.coldTakes(now, o, s) { // rules 5 and 4
 		return false
 	}
 	o.at, o.sentAt, o.waitFrom, o.maybeAt = s, now, now, min(o.maybeAt, now)
 	o.sends++
 	s.group.owed++
 	s.owed = append(s.owed, o)
-	g.host.Send(o.id, s.id, 0) // it may be called back
+	g.host.Send(o.id, s.id, by) // it may wait for a connection
 	return true
 }
 
@@ -539,10 +544,13 @@
 	}
 	s.role, s.roleAt = role, at
 	if p := s.group.primary; role == Primary && p != s && (p == nil || at >= p.roleAt) {
-		s.group.primary = s
+		if s.group.primary = s; p != nil {
+			g.host.Withdraw(p.id) // rule 5: what has not begun there was for a primary
+		}
 		g.host.Log("primary found")
 	} else if role == Replica && p == s {
 		s.group.primary = nil
+		g.host.Withdraw(s.id)
 	}
 }
 
@@ -628,8 +636,7 @@
 			s.limit += 1 / (s.limit * g.gateways) // all gateways together try one send more
 		}
 	}
-	// The strain stands still with one answer in four later than half its latency target, or none. Where a limit
-	// can shrink, or did at the last answer, that is left to it: one bad server is not all of them.
+	// A limit that can shrink, or did at the last answer, goes before: one bad server is not all of them.
 	if late := took > o.t.Target/2 || result == ServerFull; late && s.limit <= 1 {
 		if s.limit == 1 {
 			*g.strain(s) = min(*g.strain(s)+1, strainMost)
@@ -644,9 +651,8 @@
 	}
 }
 
-// doubt passes a server over, twice as long for each trouble since it last acked. At a second in a row, or if
-// sure, it is set aside until it has answered probes: no primary that cannot be reached, as writes have no
-// other place, and at most half of a group, as who finds more in trouble is likely in trouble itself.
+// doubt passes a server over, twice as long for each trouble since it last acked. At a second, or if sure, it
+// is set aside until it answers probes: no primary, as writes have no other place; half of a group at most.
 func (g *Gateway) doubt(now time.Duration, s *server, why Trouble, sure bool) {
 	if why != NoTrouble {
 		g.tell(s, why)
@@ -679,25 +685,21 @@
 	}
 }
 
-// Rumour is called with how many other gateways, weighed by how far each is to be believed, say that a server
-// is in trouble. By itself it decides nothing: it spends a probe of the ration, lets the gateway's own first
-// symptom count as its second, leaves the server a smaller turn, and has a failed list asked for sooner.
+// Rumour is called with how many others, weighed, say that a server is in trouble. By itself it spends a
+// probe, makes an own first symptom the second and a turn smaller, and has a failed list asked for sooner.
 func (g *Gateway) Rumour(now time.Duration, id uint32, weight float64) {
 	s := g.servers[id]
 	if s == nil {
 		return
 	}
 	if weight >= believed && s.rumour < believed {
-		if g.askAt > 0 {
-			g.askAt = now
-		}
+		g.askAt = min(g.askAt, now)
 		g.probe(now, s)
 	}
 	s.rumour = weight
 }
 
-// shy tells whether a replica gets a smaller turn for what others say: those of which they say most, a
-// third of those in use at most, and less readily where answers are late: the rest must have room for it.
+// shy tells whether others say so much of a replica, and of no more than a third, that its turn is smaller.
 func (g *Gateway) shy(s *server) bool {
 	said, inUse := 0, 0
 	for _, m := range s.group.members {
@@ -726,8 +728,7 @@
 	return slices.ContainsFunc(s.owed, func(o *op) bool { return now-o.waitFrom > overdueAfter*o.t.usual() })
 }
 
-// silent tells whether a server that owes answers has been quiet for longer than chance explains. Where it
-// answered what was sent later, a connection is silent and not the server.
+// silent tells whether a server, and not just a connection, is quieter than chance explains.
 func (s *server) silent(now time.Duration, least float64) bool {
 	sum, longest := 0.0, 0.0
 	for _, o := range s.owed {
@@ -739,12 +740,11 @@
 	return sum > least && longest > overdueAfter
 }
 
-// callBack ends sends that are out for so long that their answers must be lost: a connection may be silent as
-// its server answers others. It does so only where the op may be sent again and can still earn something.
+// callBack ends sends out for so long that they must be lost, where the op may be sent again in time.
 func (g *Gateway) callBack(now time.Duration, s *server) {
 	for _, o := range s.owed {
 		lost := time.Duration(lostAfter*o.sends) * o.t.usual()
-		if g.cancels && !o.done && now-o.waitFrom > lost && now < g.lastUseful(o) && g.maySend(now, o) {
+		if g.cancels && !o.done && now-o.waitFrom > lost && now < min(g.lastUseful(o), g.sendBy(o)) {
 			o.waitFrom = now
 			g.host.Cancel(o.id, uint8(o.sends-1))
 		}
@@ -761,7 +761,7 @@
 	if result == NoConnection || result == Reset || result == TimedOut {
 		g.lost(now, s)
 		g.doubt(now, s, Unreachable, false)
-	} else { // an error is an answer too: probes may fail at servers that serve
+	} else if result != NotSent { // an error is an answer too: probes may fail at servers that serve
 		s.needs = max(0, s.needs-1)
 		g.alive(now, s, now-took)
 	}
@@ -771,7 +771,8 @@
 // List is called with the server list as the host last held it, in full, or with changes to it.
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
 	if scope == ListFailed {
-		g.askAt, g.askWait = now+g.askWait, min(2*g.askWait, g.askMost)
+		g.askAt = now + time.Duration((1+g.chance())/2*float64(g.askWait)) // not in step with others
+		g.askWait = min(2*g.askWait, g.askMost)
 		return
 	} else if scope != ListCached {
 		g.askAt, g.askWait = 0, g.brief
@@ -809,11 +810,13 @@
 		g.tell(s, NoTrouble)
 	}
 	s.state, s.kind, s.weight = l.State, l.Kind, cmp.Or(float64(l.Weight), 1)
-	if (again || s.state != Ready) && s.group.primary == s {
-		s.group.primary = nil
+	if again || s.state != Ready {
+		g.host.Withdraw(s.id) // rules 3 and 4: what has not begun was decided before this was known
+		if s.group.primary == s {
+			s.group.primary = nil
+		}
 	}
-	// The list is late: its word on roles counts only where the server has not spoken itself.
-	if l.Primary && s.roleAt == LongPast {
+	if l.Primary && s.roleAt == LongPast { // the list is late: what the server has said itself counts before it
 		g.told(now, s, Primary, LongPast, LongPast)
 	}
 }
@@ -839,13 +842,9 @@
 	g.probing = min(g.probing, float64(fullTurn/4+len(g.servers)))
 	g.sentWarm *= math.Exp(-float64(now-g.timedAt) / float64(g.overloadTime))
 	g.timedAt = now
-	// Groups where nothing is held or out are looked at now and then only: a fleet may be large.
 	all, warm := now-g.walkedAt >= g.brief, 0.0
-	if all {
-		g.walkedAt = now
-	}
 	for _, gr := range g.listed {
-		if !all && gr.owed == 0 && len(gr.held) == 0 {
+		if !all && gr.owed == 0 && len(gr.held) == 0 { // looked at now and then only: a fleet may be large
 			continue
 		}
 		for _, s := range gr.members {
@@ -865,7 +864,9 @@
 		gr.members = slices.DeleteFunc(gr.members, g.forgets)
 		g.wake(now, gr)
 	}
-	if all && warm > 0 { // with no warm server left, what the last ones took still holds
-		g.warm = g.sentWarm / float64(g.overloadTime) / warm
+	if all {
+		if g.walkedAt = now; warm > 0 { // with no warm server left, what the last ones took still holds
+			g.warm = g.sentWarm / float64(g.overloadTime) / warm
+		}
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -14,21 +14,28 @@
 // diary is a Host that writes down what the gateway does.
 type diary struct {
 	lines, troubles []string
+	withdrawn       []uint32      // servers at which what had not begun was taken back
+	by              time.Duration // of the newest send
 	comeBack        time.Duration
 }
 
-func (d *diary) add(f string, a ...any)                  { d.lines = append(d.lines, fmt.Sprintf(f, a...)) }
-func (d *diary) Send(op, server uint32, t time.Duration) { d.add("send %d to %d", op, server) }
-func (d *diary) BusyReply(op uint32, t time.Duration)    { d.comeBack = t; d.add("busy %d", op) }
-func (d *diary) Error(op uint32)                         { d.add("error %d", op) }
-func (d *diary) Cancel(op uint32, send uint8)            { d.add("cancel %d.%d", op, send) }
-func (d *diary) Probe(server uint32)                     { d.add("probe %d", server) }
-func (d *diary) Timer(id uint32, at time.Duration)       {}
-func (d *diary) AskList()                                {}
-func (d *diary) WatchList()                              { d.add("watch") }
-func (d *diary) CloseIdle(server uint32)                 {}
-func (d *diary) Forget(server uint32)                    { d.add("forget %d", server) }
-func (d *diary) Log(line string)                         {}
+func (d *diary) add(f string, a ...any)               { d.lines = append(d.lines, fmt.Sprintf(f, a...)) }
+func (d *diary) BusyReply(op uint32, t time.Duration) { d.comeBack = t; d.add("busy %d", op) }
+func (d *diary) Error(op uint32)                      { d.add("error %d", op) }
+func (d *diary) Cancel(op uint32, send uint8)         { d.add("cancel %d.%d", op, send) }
+func (d *diary) Withdraw(server uint32)               { d.withdrawn = append(d.withdrawn, server) }
+func (d *diary) Probe(server uint32)                  { d.add("probe %d", server) }
+func (d *diary) Timer(id uint32, at time.Duration)    {}
+func (d *diary) AskList()                             {}
+func (d *diary) WatchList()                           { d.add("watch") }
+func (d *diary) CloseIdle(server uint32)              {}
+func (d *diary) Forget(server uint32)                 { d.add("forget %d", server) }
+func (d *diary) Log(line string)                      {}
+
+func (d *diary) Send(op, server uint32, by time.Duration) {
+	d.add("send %d to %d", op, server)
+	d.by = by
+}
 
 func (d *diary) Trouble(server uint32, t Trouble) {
 	d.troubles = append(d.troubles, fmt.Sprint(server, t))
@@ -349,7 +356,7 @@
 	now := time.Duration(0)
 	for _, wait := range []time.Duration{25 * ms, 50 * ms, 100 * ms, 200 * ms, 400 * ms, 800 * ms, 800 * ms} {
 		g.List(now, ListFailed, nil)
-		g.Timer(now+wait-ms, 0)
+		g.Timer(now+wait/2-ms, 0) // half of the wait is by chance: gateways that failed together must not ask together
 		want(t, h)
 		now += wait
 		g.Timer(now, 0)
@@ -461,6 +468,70 @@
 	want(t, h, "send 1 to 4")
 }
 
+// A send may wait for a connection: what is known by the time it could begin counts, not only what was known when it was
+// decided. One that was taken back never ran, and is placed anew.
+func TestWhatHasNotBegunIsTakenBackWhenMoreIsKnown(t *testing.T) {
+	listed := func(l Listed) func(g *Gateway) {
+		return func(g *Gateway) { g.List(10*ms, ListChanges, []Listed{l}) }
+	}
+	for name, c := range map[string]struct {
+		happens func(g *Gateway)
+		want    []uint32
+	}{
+		"drains":       {listed(Listed{ID: 1, State: Draining, Started: LongPast}), []uint32{1}},
+		"gone":         {listed(Listed{ID: 1, State: Gone, Started: LongPast}), []uint32{1}},
+		"starts again": {listed(Listed{ID: 1, State: Ready, Started: 5 * ms}), []uint32{1}},
+		"as it was":    {listed(Listed{ID: 1, State: Ready, Started: LongPast}), nil},
+		"says replica": {func(g *Gateway) { g.told(10*ms, g.servers[1], Replica, 0, 10*ms) }, []uint32{1}},
+		"another one":  {func(g *Gateway) { g.told(10*ms, g.servers[2], Primary, 9*ms, 10*ms) }, []uint32{1}},
+	} {
+		g, h := start(nil)
+		do(g, 0, 1, writeOnce)
+		want(t, h, "send 1 to 1")
+		h.withdrawn = nil
+		c.happens(g)
+		if !slices.Equal(h.withdrawn, c.want) {
+			t.Errorf("%s: taken back at %v, want %v", name, h.withdrawn, c.want)
+		}
+		g.told(20*ms, g.servers[2], Primary, 19*ms, 20*ms)
+		g.Answer(30*ms, 1, 0, 1, NotSent, 30*ms, false, RoleUnknown, LongPast)
+		want(t, h, "send 1 to 2") // also what may run once only
+	}
+}
+
+// A send says until when it may begin: rule 2 for a repeat, rule 5 for a read of a replica that does not check reads itself.
+func TestASendMayBeginForAsLongAsTheRulesAllowIt(t *testing.T) {
+	g, h := start(nil)
+	do(g, 100*ms, 1, writeToken)
+	if h.by != never {
+		t.Errorf("a first send may begin until %v", h.by)
+	}
+	g.Answer(150*ms, 1, 0, 1, Reset, 50*ms, false, RoleUnknown, LongPast)
+	for now := 155 * ms; g.ops[1].at == nil && now < 400*ms; now += 5 * ms {
+		g.Timer(now, 0)
+	}
+	if h.by != 100*ms+time.Second-2*g.tick {
+		t.Errorf("a repeat may begin until %v", h.by)
+	}
+	g.servers[2].pos, g.servers[3].pos = 330*ms, LongPast
+	do(g, 500*ms, 2, bounded)
+	if h.lines = h.lines[len(h.lines)-1:]; h.by != 530*ms {
+		t.Errorf("a bounded read may begin until %v", h.by)
+	}
+	want(t, h, "send 2 to 2")
+}
+
+// A probe for which no connection was free says nothing of its server.
+func TestAProbeThatWasNeverSentIsNoSignOfLife(t *testing.T) {
+	g, _ := start(nil)
+	s := g.servers[2]
+	s.needs, s.nextProbe = 2, never
+	g.ProbeAnswer(10*ms, 2, NotSent, 0)
+	if s.needs != 2 || s.heard == 10*ms || s.nextProbe == never {
+		t.Errorf("%d to go, heard at %v, next at %v", s.needs, s.heard, s.nextProbe)
+	}
+}
+
 // Lists, reports and answers may disagree: the newest claim of being primary wins, whatever arrives last.
 func TestNewestClaimOfThePrimaryWins(t *testing.T) {
 	g, h := start(nil)
--- a/choice/host.go
+++ b/choice/host.go
@@ -6,7 +6,8 @@
 // Host is all that a Gateway can do to the world. Every call takes effect at the time of the
 // event being handled. Times handed over are spans since the gateway's start.
 type Host interface {
-	Send(op, server uint32, timeout time.Duration) // timeout 0: until the client quits
+	Send(op, server uint32, by time.Duration)      // it begins then at the latest, or ends as NotSent
+	Withdraw(server uint32)                        // take back what has not begun there: it ends as NotSent
 	BusyReply(op uint32, comeBackIn time.Duration) // final: trying again is harmless
 	Error(op uint32)                               // final: no promise about its effect
 	Cancel(op uint32, send uint8)                  // stop waiting for one send
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,8 @@
 
 // Servers is the server side as the module needs it. No call may block or call back.
 type Servers interface {
-	Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration)
+	Send(x *exchange.Exchange, number uint8, server uint32, by time.Duration)
+	Withdraw(server uint32)
 	Cancel(x *exchange.Exchange, number uint8)
 	Probe(server uint32)
 	CloseIdle(server uint32)
@@ -155,6 +156,13 @@
 	}
 }
 
+// Stop gives up what is held: the process is about to end, and to be told so is better than to be cut off.
+func (d *Dispatch) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gateway.Stop(d.now())
+}
+
 // finish gives an op its end, once.
 func (d *Dispatch) finish(x *exchange.Exchange, how exchange.Outcome) {
 	invariant.Check(x.Outcome == exchange.Held, "an op ends once")
@@ -241,19 +249,15 @@
 }
 
 // Send implements choice.Host, as do all methods below.
-func (d *Dispatch) Send(op, server uint32, timeout time.Duration) {
+func (d *Dispatch) Send(op, server uint32, by time.Duration) {
 	x := d.table[op]
 	invariant.Check(x != nil && x.Outcome == exchange.Held && !x.Out, "a send is for a held op with none out")
 	if x == nil {
 		return
 	}
-	due := x.Due
-	if timeout > 0 {
-		due = min(due, d.clock.Now()+timeout)
-	}
 	x.Out = true
 	x.sends++
-	d.servers.Send(x.Exchange, x.sends-1, server, due)
+	d.servers.Send(x.Exchange, x.sends-1, server, by)
 }
 
 func (d *Dispatch) BusyReply(op uint32, comeBackIn time.Duration) {
@@ -287,6 +291,7 @@
 }
 
 func (d *Dispatch) Probe(server uint32)     { d.servers.Probe(server) }
+func (d *Dispatch) Withdraw(server uint32)  { d.servers.Withdraw(server) }
 func (d *Dispatch) AskList()                { d.discovery.Ask() }
 func (d *Dispatch) WatchList()              { d.discovery.Watch() }
 func (d *Dispatch) CloseIdle(server uint32) { d.servers.CloseIdle(server) }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -19,18 +19,20 @@
 	closed    int
 	located   map[uint32]string
 	forgotten int
+	withdrawn int
 }
 
 type sent struct {
 	x      *exchange.Exchange
 	number uint8
 	server uint32
-	due    time.Duration
+	by     time.Duration
 }
 
-func (s *servers) Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration) {
-	s.sent = append(s.sent, sent{x, number, server, due})
+func (s *servers) Send(x *exchange.Exchange, number uint8, server uint32, by time.Duration) {
+	s.sent = append(s.sent, sent{x, number, server, by})
 }
+func (s *servers) Withdraw(uint32)                  { s.withdrawn++ }
 func (s *servers) Cancel(*exchange.Exchange, uint8) { s.cancelled++ }
 func (s *servers) Probe(uint32)                     { s.probed++ }
 func (s *servers) CloseIdle(uint32)                 { s.closed++ }
@@ -72,7 +74,7 @@
 func TestAnOpGoesOutAndItsAckComesBack(t *testing.T) {
 	d, s, l := start(t)
 	read, write := take(d, 0, time.Second), take(d, 1, time.Second)
-	if len(s.sent) != 2 || s.sent[0].server != replica || s.sent[1].server != primary || s.sent[0].due != read.Due || l.watched != 1 {
+	if len(s.sent) != 2 || s.sent[0].server != replica || s.sent[1].server != primary || s.sent[0].by < read.Due || l.watched != 1 {
 		t.Fatalf("%+v, %+v", s, l)
 	}
 	d.SendEnded(read, 0, replica, exchange.Ended{Result: choice.Acked, Position: choice.LongPast, Answer: []byte("row")})
@@ -113,6 +115,22 @@
 	}
 }
 
+func TestAStopEndsWhatIsHeldAndWhatIsOut(t *testing.T) {
+	d, s, _ := start(t)
+	write, out := take(d, 1, time.Second), take(d, 0, time.Second)
+	s.withdrawn = 0
+	d.Listed(choice.ListChanges, []choice.Listed{{ID: primary, State: choice.Draining, Started: choice.LongPast},
+		{ID: replica, State: choice.Draining, Started: choice.LongPast}}, nil)
+	held := take(d, 1, time.Second)
+	if s.withdrawn != 2 || held.Over() || out.Over() || write.Over() {
+		t.Errorf("%d withdrawn, %+v, %+v, %+v", s.withdrawn, held, out, write)
+	}
+	d.Stop()
+	if held.Outcome != exchange.BusyReplied || out.Outcome != exchange.BusyReplied || write.Outcome != exchange.Errored {
+		t.Errorf("held %d, a read out %d, a write out %d", held.Outcome, out.Outcome, write.Outcome)
+	}
+}
+
 func TestWhatIsTakenEqualsWhatEnds(t *testing.T) {
 	d, s, _ := start(t)
 	if standin.Breaks(func() { account(t, d, s) }) {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -433,6 +433,9 @@
 	})
 }
 
+// Withdraw implements choice.Host. Here a send counts from its decision, so there is nothing to take back.
+func (g *gateway) Withdraw(uint32) {}
+
 // Probe asks a server how it is.
 func (g *gateway) Probe(server uint32) {
 	w, s := g.w, g.w.servers[server-1]
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -65,10 +65,14 @@
 	}
 }
 
-// refused ends a job for which no connection came up.
+// refused ends a job for which no connection came up. That is no fault of its server's where the job's time was over before.
 func (p *Pool) refused(j *job) {
 	p.counts.ServerRefused.Add(1)
-	p.end(j, exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast})
+	e := exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast}
+	if p.clock.Now() >= j.by {
+		e.Result = choice.NotSent
+	}
+	p.end(j, e)
 }
 
 // carry notes which connection has the job; false if it was given up meanwhile.
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -34,6 +34,7 @@
 	addrs  map[uint32]string
 	idle   map[uint32][]*conn // the one used last comes last
 	out    map[*exchange.Exchange]*job
+	probes map[uint32]*job // that are out, by server
 	open   int
 	closed bool
 }
@@ -44,9 +45,11 @@
 	number uint8
 	server uint32
 	sentAt time.Duration
-	due    time.Duration
+	by     time.Duration // it begins before that or not at all
+	due    time.Duration // its answer comes before that or not at all
 
 	// Guarded by the pool's mutex:
+	begun     bool // from here on bytes of it are written: up to then it can be withdrawn, as it has never run
 	cancelled bool
 	conn      *conn              // that carries it, or nil
 	stop      context.CancelFunc // ends its connecting
@@ -57,7 +60,7 @@
 	told *deployment.Told, most int) *Pool {
 	group, ctx := errgroup.WithContext(ctx)
 	return &Pool{clock: clock, events: events, counts: counts, told: told, most: most, ctx: ctx, group: group,
-		addrs: map[uint32]string{}, idle: map[uint32][]*conn{}, out: map[*exchange.Exchange]*job{}}
+		addrs: map[uint32]string{}, idle: map[uint32][]*conn{}, out: map[*exchange.Exchange]*job{}, probes: map[uint32]*job{}}
 }
 
 // Wait closes all connections once the pool's context has ended, and returns when their goroutines have.
@@ -95,15 +98,16 @@
 	delete(p.addrs, server)
 }
 
-// Send starts a send, of which SendEnded tells the result.
-func (p *Pool) Send(x *exchange.Exchange, number uint8, server uint32, due time.Duration) {
-	p.start(&job{x: x, number: number, server: server, due: due})
+// Send starts a send, of which SendEnded tells the result. Where it has not begun by the time given, it never ran.
+func (p *Pool) Send(x *exchange.Exchange, number uint8, server uint32, by time.Duration) {
+	p.start(&job{x: x, number: number, server: server, by: min(by, x.Due), due: x.Due})
 }
 
 // Probe starts a probe, of which ProbeEnded tells the result.
 func (p *Pool) Probe(server uint32) {
 	p.counts.Probes.Add(1)
-	p.start(&job{server: server, due: p.clock.Now() + p.told.ConnectTimeout})
+	due := p.clock.Now() + p.told.ConnectTimeout
+	p.start(&job{server: server, by: due, due: due})
 }
 
 func (p *Pool) start(j *job) {
@@ -113,6 +117,8 @@
 	if j.x != nil {
 		invariant.Check(p.out[j.x] == nil, "one send at a time is out for an op")
 		p.out[j.x] = j
+	} else {
+		p.probes[j.server] = j
 	}
 	p.place(j)
 }
@@ -125,7 +131,7 @@
 		c.net.SetReadDeadline(exchange.Past) // ends the watch of the idle connection
 		return
 	}
-	ctx, stop := context.WithDeadline(p.ctx, p.clock.Time(min(j.sentAt+p.told.ConnectTimeout, j.due)))
+	ctx, stop := context.WithDeadline(p.ctx, p.clock.Time(min(j.sentAt+p.told.ConnectTimeout, j.by)))
 	j.stop = stop
 	addr := p.addrs[j.server]
 	opens := addr != "" && (p.open < p.most || p.makeRoom())
@@ -192,6 +198,21 @@
 	}
 }
 
+// Withdraw gives up what is to go to a server and has not begun. Between the decision to send and the first byte a connection
+// may have to come up: by then the server may have been announced as leaving.
+func (p *Pool) Withdraw(server uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j := p.probes[server]; j != nil && !j.begun {
+		p.cancel(j)
+	}
+	for _, j := range p.out {
+		if j.server == server && !j.begun {
+			p.cancel(j)
+		}
+	}
+}
+
 func (p *Pool) cancel(j *job) {
 	j.cancelled = true
 	if j.conn != nil {
@@ -219,11 +240,16 @@
 func (p *Pool) end(j *job, e exchange.Ended) {
 	e.Took = p.clock.Now() - j.sentAt
 	p.mu.Lock()
-	if j.cancelled && e.Result != choice.Acked {
+	switch {
+	case j.cancelled && !j.begun:
+		e.Result = choice.NotSent
+	case j.cancelled && e.Result != choice.Acked:
 		e.Result = choice.Cancelled
 	}
 	if j.x != nil {
 		delete(p.out, j.x)
+	} else if p.probes[j.server] == j {
+		delete(p.probes, j.server)
 	}
 	p.mu.Unlock()
 	if j.x != nil {
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -30,13 +30,15 @@
 	return e, whole
 }
 
-// ready gives the connection the job's time. It is false for a job that was given up or whose op has ended.
+// ready gives the connection the job's time; with it the job has begun. It is false for one that was given up, whose op has
+// ended, or that may not begin any more.
 func (c *conn) ready(j *job) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if j.cancelled || j.x != nil && j.x.Over() {
+	if j.cancelled || j.x != nil && j.x.Over() || c.pool.clock.Now() >= j.by {
 		return false
 	}
+	j.begun = true
 	c.net.SetDeadline(c.pool.clock.Time(j.due))
 	return true
 }
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -74,6 +74,12 @@
 	return &exchange.Exchange{Statement: s, Done: make(chan struct{})}
 }
 
+// send has the op's client wait until then.
+func (p *Pool) send(x *exchange.Exchange, number uint8, server uint32, due time.Duration) {
+	x.Due = due
+	p.Send(x, number, server, due)
+}
+
 func (p *Pool) soon() time.Duration { return p.clock.Now() + 5*time.Second }
 
 func TestAnAckBringsValueRoleAndPosition(t *testing.T) {
@@ -85,7 +91,7 @@
 	}})
 	for i := range 2 {
 		before := p.clock.Now()
-		p.Send(op(t), uint8(i), server, before+300*time.Millisecond)
+		p.send(op(t), uint8(i), server, before+300*time.Millisecond)
 		r := e.next(t)
 		whole := standin.Row("value", "replica", at)
 		row, _, _ := strings.Cut(string(whole), "S\x00\x00\x00\x11role")
@@ -135,7 +141,7 @@
 		{"silence", nil, true, choice.TimedOut},
 	} {
 		p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return c.answer, c.stays }})
-		p.Send(op(t), 0, server, p.clock.Now()+300*time.Millisecond)
+		p.send(op(t), 0, server, p.clock.Now()+300*time.Millisecond)
 		if r := e.next(t); r.Result != c.want || r.Result == choice.Reset && (r.Role != 0 || r.Took > 200*time.Millisecond) {
 			t.Errorf("%s: %+v, want %d", c.name, r, c.want)
 		}
@@ -152,8 +158,8 @@
 			n := asked.Add(1)
 			return append(row(n), row(n)...), true
 		}})
-		p.events = chain{ends: e, next: sync.OnceFunc(func() { p.Send(op(t), 1, server, p.soon()) })}
-		p.Send(op(t), 0, server, p.soon())
+		p.events = chain{ends: e, next: sync.OnceFunc(func() { p.send(op(t), 1, server, p.soon()) })}
+		p.send(op(t), 0, server, p.soon())
 		for n := range 2 {
 			if r := e.next(t); r.Result != choice.Acked || !bytes.Contains(r.Answer, fmt.Append(nil, "value ", n+1)) {
 				t.Errorf("after %v: %q, %+v", after, r.Answer, r)
@@ -172,7 +178,7 @@
 	for longest, want := range map[int]choice.Result{0: choice.Reset, 512 << 10: choice.Acked} {
 		p.told.LongestMessage = longest
 		p.CloseIdle(server)
-		p.Send(op(t), 0, server, p.soon())
+		p.send(op(t), 0, server, p.soon())
 		if r := e.next(t); r.Result != want || want == choice.Acked && !strings.Contains(string(r.Answer), value) {
 			t.Errorf("told %d: result %d, %d bytes", longest, r.Result, len(r.Answer))
 		}
@@ -190,7 +196,7 @@
 			return pgwire.AppendReady(pgwire.AppendMessage(bytes.Clone(value), pgwire.ParameterStatus, told)), true
 		}})
 		for range 2 {
-			p.Send(op(t), 0, server, p.soon())
+			p.send(op(t), 0, server, p.soon())
 			if r := e.next(t); r.Result != choice.Acked || r.Role != 0 || r.Position != choice.LongPast || r.Report != nil {
 				t.Errorf("%q: %+v", told, r)
 			}
@@ -230,7 +236,7 @@
 			t.Error("the connection is open when the end is told")
 		}
 	}}
-	p.Send(op(t), 0, server, p.soon())
+	p.send(op(t), 0, server, p.soon())
 	if r := e.next(t); r.Result != choice.Reset {
 		t.Errorf("%+v", r)
 	}
@@ -238,7 +244,7 @@
 
 func TestSurplusBehindAWelcomeIsNoConnection(t *testing.T) {
 	p, e := pool(t, 8, &standin.Database{Welcome: append(pgwire.AppendWelcome(nil), standin.Row("v", "replica", 1)...)})
-	p.Send(op(t), 0, server, p.soon())
+	p.send(op(t), 0, server, p.soon())
 	if r := e.next(t); r.Result != choice.NoConnection || p.counts.Sent.Load() != 0 {
 		t.Errorf("%+v", r)
 	}
@@ -258,7 +264,7 @@
 	p, e := pool(t, 8, &standin.Database{Welcome: pgwire.AppendError(nil, "FATAL", "53300", "too many", "")})
 	p.Locate(map[uint32]string{8: refused.Addr().String(), 9: silent.Addr().String()})
 	for _, at := range []uint32{server, 8, 9} {
-		p.Send(op(t), 0, at, p.soon())
+		p.send(op(t), 0, at, p.soon())
 		r := e.next(t)
 		if r.Result != choice.NoConnection || at == 9 != (r.Took > p.told.ConnectTimeout/2) || r.Took > time.Second {
 			t.Errorf("server %d: %+v", at, r)
@@ -275,7 +281,7 @@
 		return standin.Row("v", "replica", 1), asked.Add(1) > 1 // the first is closed after its answer
 	}})
 	for range 2 {
-		p.Send(op(t), 0, server, p.soon())
+		p.send(op(t), 0, server, p.soon())
 		if r := e.next(t); r.Result != choice.Acked {
 			t.Errorf("%+v", r)
 		}
@@ -307,7 +313,7 @@
 		t.Error("an open connection counts as gone")
 	}
 	c.free()
-	p.Send(op(t), 0, server, p.soon())
+	p.send(op(t), 0, server, p.soon())
 	far.Close()
 	time.Sleep(20 * time.Millisecond)
 	if j := c.rest(); j != nil {
@@ -322,11 +328,11 @@
 	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
 	for _, wait := range []func(){func() { time.Sleep(600 * time.Millisecond) }, func() { p.CloseIdle(server) },
 		func() { p.Locate(map[uint32]string{server: p.addrs[server]}) }} {
-		p.Send(op(t), 0, server, p.soon())
+		p.send(op(t), 0, server, p.soon())
 		e.next(t)
 		wait()
 	}
-	p.Send(op(t), 0, server, p.soon())
+	p.send(op(t), 0, server, p.soon())
 	e.next(t)
 	if opened := p.counts.ServerConns.Load(); opened != 3 { // the same address again closes nothing
 		t.Errorf("%d connections were opened", opened)
@@ -338,7 +344,7 @@
 	for id := uint32(100); id < 2100; id++ {
 		p.Locate(map[uint32]string{id: p.addrs[server]})
 		if id%10 == 0 {
-			p.Send(op(t), 0, id, p.soon())
+			p.send(op(t), 0, id, p.soon())
 			e.next(t)
 		}
 		p.Forget(id)
@@ -353,7 +359,7 @@
 func TestCancel(t *testing.T) {
 	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return nil, true }})
 	x := op(t)
-	p.Send(x, 0, server, p.soon())
+	p.send(x, 0, server, p.soon())
 	time.Sleep(50 * time.Millisecond)
 	p.Cancel(x, 1) // another send of the op: nothing happens
 	select {
@@ -375,8 +381,8 @@
 // The result of a send may bring the next one at once: that one must find the connection idle.
 func TestTheNextSendTakesTheConnectionOfTheOneThatEnds(t *testing.T) {
 	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
-	p.events = chain{ends: e, next: sync.OnceFunc(func() { p.Send(op(t), 0, server, p.soon()) })}
-	p.Send(op(t), 0, server, p.soon())
+	p.events = chain{ends: e, next: sync.OnceFunc(func() { p.send(op(t), 0, server, p.soon()) })}
+	p.send(op(t), 0, server, p.soon())
 	for range 2 {
 		if r := e.next(t); r.Result != choice.Acked {
 			t.Errorf("%+v", r)
@@ -402,17 +408,102 @@
 	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
 	x := op(t)
 	close(x.Done)
-	p.Send(x, 0, server, p.soon())
+	p.send(x, 0, server, p.soon())
 	if r := e.next(t); r.Result != choice.NotSent || p.counts.Sent.Load() != 0 {
 		t.Errorf("%+v, %s", r, p.counts)
 	}
 }
 
+// Between the decision to send and the first byte a connection has to come up. Each case holds it half up, and there the server
+// is announced as leaving, the client goes, or the time is over in which the op may be sent: nothing is written, and the send
+// proves that nothing ran.
+func TestWhatHasNotBegunNeverRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		probe   bool
+		happens func(p *Pool, x *exchange.Exchange)
+	}{
+		"withdrawn":         {happens: func(p *Pool, _ *exchange.Exchange) { p.Withdraw(server) }},
+		"a probe withdrawn": {probe: true, happens: func(p *Pool, _ *exchange.Exchange) { p.Withdraw(server) }},
+		"cancelled":         {happens: func(p *Pool, x *exchange.Exchange) { p.Cancel(x, 0) }},
+		"its client leaves": {happens: func(_ *Pool, x *exchange.Exchange) { close(x.Done) }},
+		"too late":          {happens: func(*Pool, *exchange.Exchange) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			comes, enter := make(chan struct{}), make(chan struct{})
+			p, e := pool(t, 8, &standin.Database{Comes: func() { comes <- struct{}{}; <-enter },
+				Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+			p.told.ConnectTimeout = 10 * time.Second
+			x, by := op(t), p.soon()
+			if x.Due = by; name == "too late" {
+				by = p.clock.Now() + 30*time.Millisecond
+			}
+			if c.probe {
+				p.Probe(server)
+			} else {
+				p.Send(x, 0, server, by)
+			}
+			<-comes
+			c.happens(p, x)
+			if name == "its client leaves" {
+				close(enter) // the connection is worth having, and the op is looked at once it is up
+			} else {
+				defer close(enter)
+			}
+			if r := e.next(t); r.Result != choice.NotSent || r.Took > 3*time.Second || p.counts.Sent.Load() != 0 {
+				t.Errorf("%+v, %s", r, p.counts)
+			}
+		})
+	}
+}
+
+// What has begun goes on, and its answer counts: its server may have done it.
+func TestWhatHasBegunIsNotTakenBack(t *testing.T) {
+	asked, answer := make(chan struct{}), make(chan struct{})
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) {
+		asked <- struct{}{}
+		<-answer
+		return standin.Row("v", "replica", 1), true
+	}})
+	p.send(op(t), 0, server, p.soon())
+	<-asked
+	p.Withdraw(server)
+	close(answer)
+	if r := e.next(t); r.Result != choice.Acked {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A job that waits for a resting connection has not begun either. The connection goes on.
+func TestWhatWaitsForARestingConnectionIsTakenBack(t *testing.T) {
+	p, e := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+	p.events = chain{ends: e, next: sync.OnceFunc(func() {
+		p.send(op(t), 1, server, p.soon())
+		p.Withdraw(server)
+	})}
+	p.send(op(t), 0, server, p.soon())
+	for _, want := range []choice.Result{choice.Acked, choice.NotSent} {
+		if r := e.next(t); r.Result != want {
+			t.Errorf("%+v, want %d", r, want)
+		}
+	}
+	late := op(t)
+	late.Due = p.soon()
+	p.Send(late, 0, server, p.clock.Now())
+	if r := e.next(t); r.Result != choice.NotSent {
+		t.Errorf("after the time by which it may begin: %+v", r)
+	}
+	p.send(op(t), 0, server, p.soon())
+	if r := e.next(t); r.Result != choice.Acked || p.counts.ServerConns.Load() != 1 || p.counts.Sent.Load() != 2 {
+		t.Errorf("%+v, %s", r, p.counts)
+	}
+}
+
 func TestWhatMustHoldIsAsserted(t *testing.T) {
 	p, _ := pool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
 	x := op(t)
 	p.out[x] = &job{}
-	if !standin.Breaks(func() { p.Send(x, 1, server, p.soon()) }) {
+	if !standin.Breaks(func() { p.send(x, 1, server, p.soon()) }) {
 		t.Error("a second send passes")
 	}
 	delete(p.out, x)
@@ -421,7 +512,7 @@
 	far.Close()
 	c := &conn{pool: p, server: server, net: near}
 	c.window.Filled(copy(c.window.Room(), "left over"))
-	if !standin.Breaks(func() { c.serve(&job{due: p.soon()}) }) {
+	if !standin.Breaks(func() { c.serve(&job{by: p.soon(), due: p.soon()}) }) {
 		t.Error("a connection with bytes left over passes")
 	}
 }
@@ -436,8 +527,8 @@
 		return standin.Row("v", "replica", 1), true
 	}})
 	p.Locate(map[uint32]string{8: p.addrs[server], 9: ""})
-	p.Send(op(t), 0, server, p.soon())
-	p.Send(op(t), 0, 8, p.soon())
+	p.send(op(t), 0, server, p.soon())
+	p.send(op(t), 0, 8, p.soon())
 	if r := e.next(t); r.Result != choice.NotSent {
 		t.Errorf("%+v", r)
 	}
@@ -445,11 +536,11 @@
 		t.Errorf("%+v", r)
 	}
 	slow.Store(false)
-	p.Send(op(t), 0, 8, p.soon()) // an idle connection to another server makes room
+	p.send(op(t), 0, 8, p.soon()) // an idle connection to another server makes room
 	if r := e.next(t); r.Result != choice.Acked {
 		t.Errorf("%+v", r)
 	}
-	p.Send(op(t), 0, 9, p.soon())
+	p.send(op(t), 0, 9, p.soon())
 	if r := e.next(t); r.Result != choice.NotSent {
 		t.Errorf("a server without an address: %+v", r)
 	}
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -91,11 +91,11 @@
 	in.x.outTail = append(in.x.outTail, line...)
 }
 
-func (in *instance) Send(op, server uint32, timeout time.Duration) {
+// Send implements choice.Host. On the bench's wire a send begins when it is decided.
+func (in *instance) Send(op, server uint32, _ time.Duration) {
 	r := in.record(acSend)
 	be.PutUint32(r[3:], op)
 	be.PutUint32(r[7:], server)
-	be.PutUint64(r[11:], uint64(timeout))
 }
 
 func (in *instance) BusyReply(op uint32, comeBackIn time.Duration) {
@@ -112,6 +112,9 @@
 	r[7] = send
 }
 
+// Withdraw implements choice.Host: every send has begun.
+func (in *instance) Withdraw(uint32) {}
+
 func (in *instance) Probe(server uint32) { be.PutUint32(in.record(acProbe)[3:], server) }
 
 func (in *instance) Timer(id uint32, at time.Duration) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -19,6 +19,8 @@
 
 // Database answers queries on a listener until that is closed.
 type Database struct {
+	// Comes, where it is not nil, is called when a client has said who it is; it is let in when that returns.
+	Comes func()
 	// Welcome is written to each client that comes; nil stands for an ordinary welcome.
 	Welcome []byte
 	// Answer gives the bytes to write for a query, and whether the connection then stays open.
@@ -50,6 +52,9 @@
 		}
 		w.Take(size)
 	}
+	if d.Comes != nil {
+		d.Comes()
+	}
 	welcome := d.Welcome
 	if welcome == nil {
 		welcome = pgwire.AppendWelcome(nil)
