A client that leaves is seen behind whatever it sent, and a planned stop ends before the kill

Seen by reading conn.run and conn.last, then forced by tests:

- After a protest (08P01, 54000) run waited for the ops under way and read nothing: a client that sent much at once and went, or nonsense behind a query, counted as still there until its op timeout, and its ops went on being sent on.
- At a planned stop last looked once with MSG_PEEK and gave up watching where a command lay unread: an end behind it did not show.
- Nothing ended what would outlast the process: the kill comes after the longest op timeout, but after 3 s where that is longer, and 0.7 s more.
Ops of longer types were cut off by it.

The two reasons errQuiet and errLast became one. A half-close counts as leaving, as at any PostgreSQL server. 0.15 s before the earliest kill Desk.Stop has the module give up what is held.

Each test fails without its line: await left out, reads' errors not looked at, POLLRDHUP not looked at, unread bytes read, the answerer not waking the reader, Stop not called.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -30,6 +30,9 @@
 	spokeWithin = 2500 * time.Millisecond // who has said nothing whole is owed an end 3 s after connecting
 	idleFor     = 2 * time.Second         // after which a connection that owes nothing may be closed
 	turnedAway  = 16                      // connections beyond the most, which leave or are told so
+	longestKept = 3 * time.Second         // a planned stop leaves the longest op timeout, but no more than this,
+	killedAfter = 700 * time.Millisecond  // and this before the process is killed
+	farewell    = 150 * time.Millisecond  // which is left for answers to what is given up then
 )
 
 // Front is where clients come in.
@@ -59,7 +62,7 @@
 }
 
 // Serve takes clients in until the context ends and some time beyond, then lets each finish what it has asked
-// for, and returns when the last one has gone.
+// for, and returns when the last one has gone. What would outlast the process is given up before it is killed.
 func (f *Front) Serve(ctx context.Context, l *net.TCPListener) error {
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
@@ -70,6 +73,8 @@
 	stop()
 	l.Close()
 	f.closing.Store(true)
+	giveUp := time.AfterFunc(f.longest()+killedAfter-lastCalls-farewell, f.desk.Stop)
+	defer giveUp.Stop()
 	f.mu.Lock()
 	for c := range f.conns {
 		c.net.SetReadDeadline(exchange.Past)
@@ -78,6 +83,15 @@
 	return errors.Join(err, group.Wait())
 }
 
+// longest is the op timeout for which a planned stop waits.
+func (f *Front) longest() time.Duration {
+	var longest time.Duration
+	for _, t := range f.told.OpTypes {
+		longest = max(longest, t.Timeout)
+	}
+	return min(longest, longestKept)
+}
+
 // accept takes connections until the listener fails, or its time is up after the context's end.
 func (f *Front) accept(ctx context.Context, l *net.TCPListener, group *errgroup.Group) error {
 	for failing := false; ; {
@@ -202,6 +216,7 @@
 	heard   atomic.Int64 // when the last bytes came or went, a span
 	spoke   atomic.Bool  // a command has come that could be taken
 	leaving atomic.Bool  // it is to make room and has not been heard of since
+	ending  atomic.Bool  // no command is read any more: what was taken is answered, then it is closed
 }
 
 // run serves the connection until either end closes it. What was taken is answered first, unless the client
@@ -210,8 +225,11 @@
 	f := c.front
 	var group errgroup.Group
 	group.Go(c.answer)
-	err := c.read()
-	if errors.Is(err, errGone) {
+	why := c.read()
+	if why != errGone {
+		why = c.await(why)
+	}
+	if why == errGone {
 		for _, x := range c.open {
 			f.desk.Left(x)
 		}
@@ -219,11 +237,11 @@
 	close(c.queue)
 	group.Wait()
 	switch { // closing on unread bytes would take back what was just written
-	case errors.Is(err, errOver):
+	case why == errProtested:
 		c.net.CloseWrite()
 		c.net.SetReadDeadline(time.Now().Add(crossing))
 		io.Copy(io.Discard, c.net)
-	case f.closing.Load() && !errors.Is(err, errGone): // a command that crosses this is not to look read
+	case why == errEnds && f.closing.Load(): // a command that crosses this is not to look read
 		c.net.CloseWrite()
 		time.Sleep(crossing)
 	}
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -47,7 +47,7 @@
 		c.heard.Store(int64(c.front.clock.Now()))
 		owed := c.owed.Add(-1)
 		invariant.Check(owed >= 0, "no more replies are written than are owed")
-		if owed == 0 && c.front.closing.Load() {
+		if owed == 0 && (c.ending.Load() || c.front.closing.Load()) {
 			c.net.SetReadDeadline(exchange.Past)
 		}
 	}
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"gorsewell/choice"
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
@@ -37,6 +39,35 @@
 
 func (d *desk) Left(x *exchange.Exchange) { d.left <- x }
 
+// Stop gives up what is held.
+func (d *desk) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, x := range d.taken {
+		if !x.Over() {
+			finish(x, exchange.Errored)
+		}
+	}
+}
+
+// until waits for what another goroutine brings about.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// numbered are queries for ops of their own.
+func numbered(n int) (all []byte) {
+	for i := range n {
+		all = pgwire.AppendQuery(all, strings.Replace(ask, "id=1", fmt.Sprintf("id=%d", i), 1))
+	}
+	return all
+}
+
 func finish(x *exchange.Exchange, how exchange.Outcome) {
 	x.Outcome = how
 	close(x.Done)
@@ -188,6 +219,147 @@
 	}
 }
 
+// The end of a client that left shows at once, whatever it sent before: an op of it that still waits must not be sent on.
+func TestAClientThatLeavesIsSeenBehindWhatItSent(t *testing.T) {
+	t.Parallel()
+	protested := func(f *Front) bool { return f.counts.Malformed.Load() == 1 }
+	for name, c := range map[string]struct {
+		says   []byte
+		more   string // said once that holds
+		once   func(f *Front) bool
+		leaves func(c *standin.Client) error
+		want   int
+	}{
+		"many at once": {says: numbered(300), once: protested, want: queueSize},
+		"nonsense":     {says: append(numbered(1), "z\x00\x00\x00\x04"...), once: protested, want: 1},
+		"a flood": {says: append(numbered(1), "z\x00\x00\x00\x04"...), once: protested, more: strings.Repeat("x", 3*discarded),
+			want: 1},
+		"half closed": {says: numbered(3), once: func(f *Front) bool { return f.counts.ClientConns.Load() == 1 },
+			leaves: func(c *standin.Client) error { return c.Conn.(*net.TCPConn).CloseWrite() }, want: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, d, addr, _ := front(t, 8, func(*exchange.Exchange) {})
+			client := dial(t, addr)
+			client.Say(c.says)
+			until(t, name, func() bool { return c.once(f) })
+			client.Say([]byte(c.more))
+			if c.leaves == nil {
+				client.Close()
+			} else if err := c.leaves(client); err != nil {
+				t.Fatal(err)
+			}
+			for range c.want {
+				select {
+				case x := <-d.left:
+					finish(x, exchange.Left)
+				case <-time.After(20 * time.Second):
+					t.Fatal("it counts as still there")
+				}
+			}
+			if len(d.taken) != c.want {
+				t.Errorf("%d ops were taken", len(d.taken))
+			}
+		})
+	}
+}
+
+// stopping is a client of a front that is stopping, has looked its last, and holds an op of it. A command of its comes after that.
+func stopping(t *testing.T) (d *desk, c *standin.Client, stopped chan struct{}) {
+	t.Helper()
+	f, d, addr, stop := front(t, 8, func(*exchange.Exchange) {})
+	c = dial(t, addr)
+	c.Say(numbered(1))
+	until(t, "taken", func() bool { return taken(d) == 1 })
+	stopped = make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	until(t, "looked its last", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for c := range f.conns {
+			return c.ending.Load()
+		}
+		return false
+	})
+	c.Say(pgwire.AppendQuery(nil, strings.Replace(ask, "id=1", "id=2", 1)))
+	return d, c, stopped
+}
+
+// Behind a command that nobody reads any more the client's end must show all the same.
+func TestAClientThatLeavesAStoppingGatewayIsSeenBehindWhatIsNotRead(t *testing.T) {
+	t.Parallel()
+	d, c, stopped := stopping(t)
+	c.Close()
+	select {
+	case x := <-d.left:
+		finish(x, exchange.Left)
+	case <-time.After(20 * time.Second):
+		t.Fatal("it counts as still there")
+	}
+	<-stopped
+	if n := taken(d); n != 1 {
+		t.Errorf("%d ops were taken", n)
+	}
+}
+
+// A command that crosses the end of a planned stop is not read: the reset that follows the answers tells its client that it was
+// not taken, and it asks elsewhere.
+func TestWhatCrossesTheEndOfAPlannedStopStaysUnread(t *testing.T) {
+	t.Parallel()
+	d, c, stopped := stopping(t)
+	time.Sleep(20 * time.Millisecond) // in which it would be read
+	ack(d.taken[0])
+	expect(t, c, "v0")
+	<-stopped
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a reset", func() (reset bool) {
+		raw.Control(func(fd uintptr) {
+			look := []unix.PollFd{{Fd: int32(fd)}}
+			unix.Poll(look, 0)
+			reset = look[0].Revents&unix.POLLERR != 0
+		})
+		return reset
+	})
+	if n := taken(d); n != 1 {
+		t.Errorf("%d ops were taken", n)
+	}
+}
+
+func taken(d *desk) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.taken)
+}
+
+// What a process holds when it is killed is lost: it is given up before, and its client told so.
+func TestAPlannedStopGivesUpWhatWouldOutlastTheProcess(t *testing.T) {
+	t.Parallel()
+	f, d, addr, stop := front(t, 8, func(*exchange.Exchange) {})
+	for timeout, want := range map[time.Duration]time.Duration{time.Second: time.Second, time.Minute: longestKept} {
+		if f.told.OpTypes[1].Timeout = timeout; f.longest() != want {
+			t.Errorf("with %v it waits for %v", timeout, f.longest())
+		}
+	}
+	f.told.OpTypes[1].Timeout = time.Second
+	c := dial(t, addr)
+	c.Say(numbered(1))
+	until(t, "taken", func() bool { return taken(d) == 1 })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	expect(t, c, "C08007")
+	expect(t, c, "$")
+	<-stopped
+}
+
 func TestBadInput(t *testing.T) {
 	t.Parallel()
 	long := "Q\x00\x7f\x00\x00"
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -5,9 +5,10 @@
 	"errors"
 	"os"
 	"slices"
-	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"gorsewell/choice"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/pgwire"
@@ -18,11 +19,10 @@
 
 // Why a connection is read no longer.
 var (
-	errGone  = errors.New("the client has gone")
-	errOver  = errors.New("the connection is to be closed")
-	errQuiet = errors.New("the connection is to be closed, and nothing is under way on it")
-	errLast  = errors.New("the connection is to be closed once what was taken on it is answered")
-	errMany  = errors.New("too many commands at once")
+	errGone      = errors.New("the client has gone")
+	errProtested = errors.New("the client is told that nothing more is taken, and why")
+	errEnds      = errors.New("the connection is to be closed")
+	errMany      = errors.New("too many commands at once")
 )
 
 // read takes what the client sends until it goes, or is to go.
@@ -60,7 +60,7 @@
 	}
 	c.front.counts.Malformed.Add(1)
 	c.say(pgwire.AppendError(nil, "FATAL", code, err.Error(), ""))
-	return errOver
+	return errProtested
 }
 
 // startup reads the packet with which a session begins and lets the client in.
@@ -83,11 +83,11 @@
 			declined++
 			c.say([]byte{'N'}) // there is none: the client goes on in the clear
 		case o == pgwire.OpensCancel:
-			return errOver
+			return errProtested
 		case !c.front.findsRoom(c):
 			c.front.counts.ClientRefused.Add(1)
 			c.say(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
-			return errOver
+			return errProtested
 		default:
 			c.say(pgwire.AppendWelcome(nil))
 			return nil
@@ -134,12 +134,12 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return errGone
 		case c.owed.Load() > 0 && c.front.closing.Load():
-			return c.last()
+			return errEnds
 		case c.owed.Load() > 0:
 			last = false
 			c.wait(time.Time{})
 		case last || c.looked:
-			return errQuiet
+			return errEnds
 		default:
 			last, c.looked = true, c.front.closing.Load()
 			look := crossing
@@ -151,27 +151,47 @@
 	}
 }
 
-// last waits until all that was taken is answered, reading nothing, and tells whether the client leaves before. Behind a
-// command that nobody will read an end does not show: then what is under way is answered all the same.
-func (c *conn) last() error {
+// discarded is how much of what follows a protest is thrown away as fast as it comes; of a flood, the rest is slowed down.
+const discarded = 1 << 20
+
+// await waits until all that was taken is answered, and tells whether the client leaves before: then what is under way for it
+// must not be sent on. What follows a protest is thrown away, so that its end shows. What comes once a planned stop has looked
+// its last stays unread, by which its client can tell that it was not taken, and the kernel is asked for the end behind it.
+func (c *conn) await(why error) error {
+	c.ending.Store(true) // from here on the answerer ends the wait after the last answer
+	for left := discarded; ; {
+		if c.net.SetReadDeadline(time.Time{}); c.owed.Load() == 0 {
+			return why
+		}
+		if why == errEnds {
+			if c.leaves() {
+				return errGone
+			}
+			continue
+		}
+		n, err := c.net.Read(c.window.Room())
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return errGone
+		}
+		if left -= n; left < 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// leaves waits, reading nothing, until the client has closed its end, or the read deadline has passed: false.
+func (c *conn) leaves() (gone bool) {
 	raw, err := c.net.SyscallConn()
 	if err != nil {
-		return errLast
-	}
-	if c.net.SetReadDeadline(time.Time{}); c.owed.Load() == 0 { // else the answerer ends the wait after the last answer
-		return errLast
+		return true
 	}
-	gone := false
-	raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
-		return gone || n > 0
+	err = raw.Read(func(fd uintptr) bool {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		gone = err == nil && n > 0
+		return gone
 	})
-	if gone {
-		return errGone
-	}
-	return errLast
+	return gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // wait lets reads wait until then, and not at all once connections are being closed.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,6 +76,7 @@
 type Desk interface {
 	Take(x *Exchange) // Done follows
 	Left(x *Exchange) // the client has gone
+	Stop()            // the process is about to end: each op that is held gets its end now
 }
 
 // Events takes what happens at the server side.
