A cold server's first allowance counts from when it is used, not from the start of the server

The sum of all gateways was played in virtual time: 5 to 300 gateways of unequal traffic, a server that starts again as the only place for its group, three times that group's usual load, told 0 to 4 s late. Traced: coldTakes dated the first allowance from the start, so that each gateway's first send used up what had added up while it had none, and the gateways did so together.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -511,7 +511,7 @@
 	if r >= 1 {
 		return true
 	} else if s.allowedAt < s.began {
-		s.allowed, s.acked, s.allowedAt = -g.chance()*work, 0, max(s.began, 0)
+		s.allowed, s.acked, s.allowedAt = -g.chance()*work, 0, max(s.began, now-g.overloadTime/unspent)
 	}
 	since, over := float64(now-s.allowedAt), float64(g.overloadTime)
 	s.acked *= math.Exp(-since / over)
