A server that has said that it is a replica gets no read meant for a primary

7.154 event=ended op=217 server= result=0 role=1 took=2.768s 7.165 event=probed server= report='2 2.61476194s' (a replica, its position 2.6 s old) 7.165 replica claim ignored: evidence 4.529, roleAt 7.133

It had hung, lost its role, and then answered what it had from before, as primary. That claim was dated by its arrival; the report's claim of being a replica by its position, which stands still after the loss of the role, so the older word won for 2.6 s and more. Reads that servers do not check were meanwhile taken to the primary that it was not. Lines: Answer's call of told with now; Report's with pos.

Now a claim of being primary in an answer is as old as the send may make it, and where servers check nothing a report that says replica counts from its arrival. Both orders of the two claims are in the test; each half fails without its line. What it may cost: a late report from before a promotion hides a new primary until it answers something that was sent later.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -260,8 +260,8 @@
 	took time.Duration, final bool, role Role, pos time.Duration) {
 	g.mind(now)
 	s, o := g.servers[at], g.ops[id]
-	if s != nil {
-		g.told(now, s, role, pos, now)
+	if s != nil { // a claim of being primary may be as old as what it answers
+		g.told(now, s, role, pos, now-map[bool]time.Duration{true: took}[role == Primary])
 	}
 	if o == nil || o.at == nil || int(number) != o.sends-1 {
 		return
@@ -555,8 +555,9 @@
 }
 
 // Report is called before the answer that brought the report; its position is the time that it speaks of.
+// Where nothing else keeps rule 5, a server that says that it is a replica is one from then on.
 func (g *Gateway) Report(now time.Duration, id uint32, role Role, pos time.Duration) {
-	if s := g.servers[id]; s != nil && pos == LongPast {
+	if s := g.servers[id]; s != nil && (pos == LongPast || role == Replica && !g.checked) {
 		g.told(now, s, role, pos, now)
 	} else if s != nil {
 		if g.told(now, s, role, pos, pos); role == Primary { // it stands at the present: the rest is age
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -545,6 +545,32 @@
 	want(t, h) // no primary is known: a read that must be current waits
 }
 
+// A primary that hung for seconds, lost its role meanwhile and goes on answers what it had first, as primary. Its report says that it
+// is a replica since long. Whichever comes last, no read that must be current may go there: with the claims dated by position and
+// by arrival, one did on a short day of hung servers, and was answered with data half a second too old.
+func TestAServerThatHasSaidThatItIsAReplicaGetsNoReadForAPrimary(t *testing.T) {
+	for _, reportFirst := range []bool{true, false} {
+		g, h := start(func(d *Deployment) { d.TellsPosition, d.ReportsPosition = false, true })
+		do(g, 100*ms, 1, writeOnce)
+		report := func() { g.Report(3*time.Second, 1, Replica, 50*ms) }
+		if reportFirst {
+			report()
+		}
+		g.Answer(3*time.Second, 1, 0, 1, Acked, 2900*ms, true, Primary, LongPast)
+		if !reportFirst {
+			report()
+		}
+		h.lines = nil
+		do(g, 3001*ms, 2, fresh)
+		do(g, 3001*ms, 3, bounded)
+		g.Timer(3200*ms, 0)
+		want(t, h)
+		g.Answer(3201*ms, 9, 0, 1, Acked, 100*ms, true, Primary, LongPast) // asked and answered since
+		g.Timer(3205*ms, 0)
+		want(t, h, "send 3 to 1", "send 2 to 1")
+	}
+}
+
 // blind is a deployment whose answers tell no position, only probes, while servers check reads themselves.
 func blind(d *Deployment) { d.TellsPosition, d.ReportsPosition, d.Checks = false, true, Waits }
 
