A connection that is to make room leaves, whatever its reader waits for

Seen: a test of clients that fill a gateway's descriptors (96, 288 idle, silent and half-open connections on one core, discovery down) stood still: who asked afterwards was let in by nobody for 20 s, client_open=59 (the most and sixteen), client_refused=116. The goroutines' stacks: all 59 readers in fill without a deadline, the acceptor in awaitRoom.

Cause, clientside: hasRoom marks the quiet ones as leaving and ends their reads by the deadline. A reader that had just taken the first bytes of its client then set its own next wait (next, read: c.wait), which undid the deadline; the mark stayed. A connection so marked counts as on its way out and is never chosen again: once as many are stuck as there is room for, everybody else is closed unserved, for good. wait looked only at closing, which has the same race and the mend for it: set the deadline first, then look.

Ruled out: descriptors (96 allowed, no accept_failed), the acceptor's own waits (0.16 s), clients that had spoken within two seconds.

wait looks at the mark too, and a connection that is owed an answer loses it.

--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -484,6 +484,23 @@
 	}
 }
 
+// Under a flood of connections on one core, those that had just spoken were marked as leaving in the moment in which their reader
+// set its next wait: they stayed for good, counted as leaving, and with as many as there is room for nobody else was let in.
+func TestAConnectionThatIsToLeaveDoesWhateverItsReaderWaitsFor(t *testing.T) {
+	t.Parallel()
+	f, _, addr, _ := front(t, 1, ack)
+	c := dial(t, addr)
+	c.Query(ask)
+	f.mu.Lock()
+	for k := range f.conns { // the reader's next wait comes after the mark
+		k.leaving.Store(true)
+		k.net.SetReadDeadline(exchange.Past)
+		k.wait(time.Time{})
+	}
+	f.mu.Unlock()
+	expect(t, c, "$")
+}
+
 func TestAnIDIsOpenOnce(t *testing.T) {
 	t.Parallel()
 	end := make(chan struct{})
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -137,6 +137,7 @@
 			return errEnds
 		case c.owed.Load() > 0:
 			last = false
+			c.leaving.Store(false)
 			c.wait(time.Time{})
 		case last || c.looked:
 			return errEnds
@@ -194,10 +195,11 @@
 	return gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// wait lets reads wait until then, and not at all once connections are being closed.
+// wait lets reads wait until then, and not at all once the connection, or all of them, are to be closed. Who wants that says so
+// first and ends the wait then: whichever of the two comes last, the read ends.
 func (c *conn) wait(until time.Time) {
 	c.net.SetReadDeadline(until)
-	if c.front.closing.Load() {
+	if c.front.closing.Load() || c.leaving.Load() {
 		c.net.SetReadDeadline(exchange.Past)
 	}
 }
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -118,6 +118,11 @@
 			r.lists.breaks(true)
 			return func() { r.lists.breaks(false) }
 		}}
+	kinds["list_silent"] = &kind{doc: "watches that are open hear nothing more; each instance gives its own up after a while", strikes: nothing,
+		begin: func(f *Fault, r *run, _ []*server, _ []*gateway) func() {
+			r.lists.silence()
+			return func() {}
+		}}
 	kinds["list_frozen"] = &kind{doc: "the list goes on telling what it knew", strikes: nothing,
 		begin: func(f *Fault, r *run, _ []*server, _ []*gateway) func() {
 			r.lists.frozen = true
--- a/internal/emulator/group.go
+++ b/internal/emulator/group.go
@@ -312,15 +312,31 @@
 
 // breaks ends all watches; who watched is told so.
 func (l *lists) breaks(down bool) {
-	l.down = down
-	if !down {
-		return
+	if l.down = down; down {
+		l.unwatch(func(*gateway) time.Duration { return l.w.world.List.Timeout / 8 })
 	}
+}
+
+// A silent watch is given up between these times after it was opened, by chance.
+const (
+	givenUpFrom = 4 * time.Second
+	givenUpTo   = 4600 * time.Millisecond
+)
+
+// silence has nobody hear of changes until it has given its watch up.
+func (l *lists) silence() {
+	l.unwatch(func(g *gateway) time.Duration {
+		return givenUpFrom + time.Duration(draw(l.w.seed, 0x511, uint64(g.index), uint64(l.w.now))*float64(givenUpTo-givenUpFrom))
+	})
+}
+
+// unwatch ends all watches, of which each gateway learns after a time.
+func (l *lists) unwatch(after func(g *gateway) time.Duration) {
 	for _, g := range l.w.gateways {
 		if g.watching && g.runs() && l.w.world.List.Asked {
 			g.watching = false
 			life := g.life
-			l.w.after(l.w.world.List.Timeout/8, func() {
+			l.w.after(after(g), func() {
 				if g.life == life {
 					g.listed(choice.ListFailed, nil)
 				}
--- a/internal/loopback/check.go
+++ b/internal/loopback/check.go
@@ -21,6 +21,9 @@
 	events  []Event
 	sends   int64
 	readAt  map[*job]int64
+	late    time.Duration // after which a change counts as told, since watches fell silent
+
+	restarts []time.Duration // that instances took to be ready
 }
 
 // Event is something that happened in a day.
@@ -53,7 +56,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sends++
-	if at, ok := c.told[s]; ok && time.Since(at) > c.w.Rules.Grace+50*time.Millisecond {
+	if at, ok := c.told[s]; ok && time.Since(at) > c.w.Rules.Grace+c.w.Rules.Slack {
 		c.broke(3, "op %s came to server %d, %v after it was told that this drains", j.id, s.num, time.Since(at).Round(time.Millisecond))
 	}
 }
@@ -95,6 +98,22 @@
 	if state == "in_service" {
 		delete(c.told, s)
 	} else {
-		c.told[s] = time.Now()
+		c.told[s] = time.Now().Add(c.late)
 	}
 }
+
+// toldWithin is how long after a change it counts as told, whatever befell the watches.
+const toldWithin = 6 * time.Second
+
+// silent: all watches have fallen silent. Each gateway opens another in its own time.
+func (c *checker) silent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late = toldWithin
+}
+
+func (c *checker) ready(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restarts = append(c.restarts, took)
+}
--- a/internal/loopback/clients.go
+++ b/internal/loopback/clients.go
@@ -54,6 +54,7 @@
 	Windows                []emulator.Window
 	Busy, Errored, Retries int64
 	Lost, Garbled          int64 // tries that ended without an answer; answers that were nobody's
+	Crossed                int64 // tries asked for once more, as their connection ended with no word
 	Broken                 [5]int64
 	Stories                []string
 	Events                 []Event
@@ -62,6 +63,7 @@
 	Sends                  int64
 	Gateways               []string // last words of the instances: their counters
 	Homes                  []HomeResult
+	Ready                  []time.Duration // that instances took to be ready when they were started again
 }
 
 // HomeResult is what came of the ops of one instance's own clients.
@@ -296,6 +298,20 @@
 	}
 	k.SetDeadline(due)
 	a, err := k.query(text)
+	if err != nil && k.used && k.silent && time.Now().Before(due) {
+		// It may have crossed the gateway's close between two ops: then it was not read, and is asked for once more.
+		k.Close()
+		c.mu.Lock()
+		c.res.Crossed++
+		c.mu.Unlock()
+		again, dialled := c.dial(c.front(p.home))
+		if dialled != nil {
+			return ended{again: true}
+		}
+		k = again
+		k.SetDeadline(due)
+		a, err = k.query(text)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -334,6 +350,8 @@
 	net.Conn
 	window  pgwire.Window
 	gateway int
+	used    bool // it has been asked on before
+	silent  bool // nothing has come since the last question
 }
 
 // conn takes an idle connection or opens one.
@@ -343,13 +361,18 @@
 		k := list[len(list)-1]
 		c.conns[gateway] = list[:len(list)-1]
 		c.mu.Unlock()
-		if !k.closed() {
+		if k.used = true; !k.closed() {
 			return k, nil
 		}
 		k.Close()
 	} else {
 		c.mu.Unlock()
 	}
+	return c.dial(gateway)
+}
+
+// dial opens a connection.
+func (c *clients) dial(gateway int) (*conn, error) {
 	nc, err := net.DialTimeout("tcp", c.gateways[gateway], time.Second)
 	if err != nil {
 		return nil, err
@@ -383,6 +406,7 @@
 }
 
 func (k *conn) query(text string) (said, error) {
+	k.silent = true
 	if _, err := k.Write(pgwire.AppendQuery(nil, text)); err != nil {
 		return said{}, err
 	}
@@ -401,6 +425,7 @@
 			if n == 0 && err != nil {
 				return a, err
 			}
+			k.silent = false
 			continue
 		}
 		switch m.Type {
--- a/internal/loopback/discovery.go
+++ b/internal/loopback/discovery.go
@@ -21,6 +21,7 @@
 	lines   []line
 	changes []change
 	news    chan struct{} // closed at each change
+	silent  chan struct{} // closed when the watches that are open fall silent
 }
 
 // line is a server as it is listed.
@@ -49,7 +50,7 @@
 }
 
 func newDiscovery(f *fleet) *discovery {
-	return &discovery{f: f, version: 1, news: make(chan struct{})}
+	return &discovery{f: f, version: 1, news: make(chan struct{}), silent: make(chan struct{})}
 }
 
 // begin lists the servers as they are and answers from then on.
@@ -146,11 +147,23 @@
 	return p
 }
 
+// silence has the watches that are open hear nothing more, without an end.
+func (d *discovery) silence() {
+	d.f.check.silent()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.silent)
+	d.silent = make(chan struct{})
+}
+
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	since, _ := strconv.Atoi(q.Get("since"))
 	wait, _ := strconv.Atoi(q.Get("timeout_ms"))
 	end := time.After(time.Duration(min(wait, 60000)) * time.Millisecond)
+	d.mu.Lock()
+	silent := d.silent
+	d.mu.Unlock()
 	for {
 		d.mu.Lock()
 		news := d.news
@@ -161,6 +174,9 @@
 			return
 		}
 		select {
+		case <-silent:
+			<-r.Context().Done()
+			return
 		case <-news:
 		case <-end:
 			wait = 0
