--- a/internal/loopback/clients.go
+++ b/internal/loopback/clients.go
@@ -54,6 +54,7 @@
 	Windows                []emulator.Window
 	Busy, Errored, Retries int64
 	Lost, Garbled          int64 // tries that ended without an answer; answers that were nobody's
+	TimedOut               int64 // tries whose client left, as its time was up
 	Crossed                int64 // tries asked for once more, as their connection ended with no word
 	Broken                 [5]int64
 	Stories                []string
@@ -319,6 +320,7 @@
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			// Its time is up. A gateway that lives owes an answer by then; a little more is the way's.
+			c.res.TimedOut++
 			return ended{again: repeatable}
 		}
 		c.res.Lost++
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -153,7 +153,7 @@
 // settles waits until what belongs behind the last answer has had time to come: its server's close, or bytes that
 // must not pass for the next answer. It is false if anything came.
 func (c *conn) settles() bool {
-	if until := c.freed + settling; c.pool.clock.Now() < until {
+	if until := c.freed + c.pool.settling; c.pool.clock.Now() < until {
 		c.net.SetReadDeadline(c.pool.clock.Time(until))
 		_, err := c.net.Read(c.window.Room())
 		return errors.Is(err, os.ErrDeadlineExceeded)
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -28,6 +28,8 @@
 	told   *deployment.Told
 	most   int // connections in all
 
+	settling time.Duration // how long a connection rests after an answer
+
 	ctx    context.Context
 	group  *errgroup.Group
 	mu     sync.Mutex // guards all below and the jobs' and connections' fields that say so
@@ -59,7 +61,7 @@
 func New(ctx context.Context, clock exchange.Clock, events exchange.Events, counts *counters.Set,
 	told *deployment.Told, most int) *Pool {
 	group, ctx := errgroup.WithContext(ctx)
-	return &Pool{clock: clock, events: events, counts: counts, told: told, most: most, ctx: ctx, group: group,
+	return &Pool{clock: clock, events: events, counts: counts, told: told, most: most, settling: settling, ctx: ctx, group: group,
 		addrs: map[uint32]string{}, idle: map[uint32][]*conn{}, out: map[*exchange.Exchange]*job{}, probes: map[uint32]*job{}}
 }
 
@@ -162,7 +164,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	settled := p.clock.Now() - settling
+	settled := p.clock.Now() - p.settling
 	i := max(0, sort.Search(len(list), func(i int) bool { return list[i].freed > settled })-1)
 	c := list[i]
 	p.take(server, i)
