Settings of any customer: what is not stated does not bind, what cannot be meant is refused

Checked by reading settings through what the module is told, each confirmed by a test:

- an op type without a latency target had one of 0: every op of it was given up at once, and the brief wait was 0; without an op timeout its clients' time was 0 as well.
A missing target is the op timeout now, a missing op timeout binds nobody; with neither in any op type the start is refused by one line.
- max_attempts missing meant one send, a cold time without a multiple or a window no send at all while cold, a connect time-out of 0 that no connection came up: none of them binds any more.
- refused by one line, with the path: negative times, a name missing or given twice (the first of two was never reached), more than 256 op types (the rest were dropped without a word), descriptors too few for any server (connections of 0 were allowed).

Ruled out: names in other cases, with spaces, points and signs (both variants in deploy/sites play them); unknown words for effect and need stand on the safe side as before.

--- a/cmd/gorsewell/main_test.go
+++ b/cmd/gorsewell/main_test.go
@@ -221,7 +221,14 @@
 		"bad seed":         change(func(m map[string]any) { m["seed"] = "xyz" }),
 		"no settings":      change(func(m map[string]any) { delete(m, "settings") }),
 		"bad setting":      change(func(m map[string]any) { m["settings"] = map[string]any{"round": "soon"} }),
-		"bad server":       change(func(m map[string]any) { m["known"] = map[string]any{"servers": []any{map[string]any{"id": "s-1"}}} }),
+		"few descriptors":  change(func(m map[string]any) { m["limits"] = map[string]any{"sockets": 40} }),
+		"no op type":       change(func(m map[string]any) { m["settings"] = map[string]any{} }),
+		"a name twice": change(func(m map[string]any) {
+			classes := m["settings"].(map[string]any)["classes"].([]any)
+			classes[1].(map[string]any)["name"] = classes[0].(map[string]any)["name"]
+		}),
+		"limits of words": change(func(m map[string]any) { m["limits"] = "none" }),
+		"bad server":      change(func(m map[string]any) { m["known"] = map[string]any{"servers": []any{map[string]any{"id": "s-1"}}} }),
 	} {
 		cmd := exec.Command(os.Args[0])
 		cmd.Env = append(os.Environ(), asGateway+"=1", "LB_CONFIG="+config)
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -158,6 +158,9 @@
 // that are being turned away.
 const spare = 32
 
+// leastServers is how many connections to servers a gateway can do with; it has twice as many to clients.
+const leastServers = 4
+
 // gossipSockets are the gossip's own descriptors, beside the streams that others open.
 const gossipSockets = 6
 
@@ -180,6 +183,13 @@
 	if sockets <= 0 {
 		sockets = 1024
 	}
+	if settings.Gossip.Enabled {
+		sockets -= settings.Gossip.Limits.Streams + gossipSockets
+	}
+	servers := (sockets - spare) / 3
+	if servers < leastServers {
+		return fmt.Errorf("limits.sockets: %d are too few, of which %d are for servers and clients", g.Limits.Sockets, sockets-spare)
+	}
 	clock, counts := exchange.StartClock(), &counters.Set{}
 	names := discovery.NewNames(clock, told)
 	known, addrs, err := names.Listed(&g.Known)
@@ -204,10 +214,6 @@
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
-	if gossip != nil {
-		sockets -= settings.Gossip.Limits.Streams + gossipSockets
-	}
-	servers := (sockets - spare) / 3
 	pool := serverside.New(work, clock, desk, counts, told, servers)
 	front := clientside.New(clock, desk, counts, told, sockets-spare-servers)
 	lists := discovery.New(g.Discovery, g.Known.Version, names, told, desk, counts)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -120,13 +121,13 @@
 	return f
 }
 
-// span reads a time in nanoseconds.
+// span reads a time in nanoseconds; none is negative.
 func (r *reader) span(path string) time.Duration {
 	n, err := span(r.Values[path])
-	if err != nil {
+	if err != nil || n < 0 {
 		r.fail(path)
 	}
-	return n
+	return max(0, n)
 }
 
 func span(v string) (time.Duration, error) {
@@ -209,12 +210,59 @@
 		t.Checks = choice.Waits
 	}
 	r.opTypes(t)
+	r.unstated(t)
 	return t, r.err
 }
 
+const (
+	unbound   = time.Hour // stands for a time that the settings do not state: it binds nobody
+	mostTypes = 256       // op types, as one byte tells them apart
+	mostSends = 255       // of an op, for the same reason
+)
+
+// unstated puts in what the settings do not say: a limit that is missing, or zero, does not bind, and an op type without a
+// latency target is of use until its op timeout.
+func (r *reader) unstated(t *Told) {
+	if t.MaxSends <= 0 || t.MaxSends > mostSends {
+		t.MaxSends = mostSends
+	}
+	if t.OverloadFactor <= 0 || t.OverloadTime <= 0 {
+		t.ColdTime = 0 // nothing says how much a cold server bears: none counts as cold
+	}
+	longest, names := time.Duration(0), map[string]bool{}
+	for i := range t.OpTypes {
+		o := &t.OpTypes[i]
+		longest = max(longest, o.Timeout, o.Target)
+		if o.Timeout == 0 {
+			o.Timeout = unbound
+		}
+		if o.Target == 0 {
+			o.Target = o.Timeout
+		}
+		name := t.OpTypeNames[i]
+		switch {
+		case r.err != nil:
+		case name == "":
+			r.err = fmt.Errorf("setting classes.%d.name is missing", i)
+		case names[name]:
+			r.err = fmt.Errorf("setting classes.%d.name=%q stands for another op type already", i, name)
+		}
+		names[name] = true
+	}
+	if longest == 0 && len(t.OpTypes) > 0 && r.err == nil {
+		r.err = errors.New("the settings state neither a latency target (target) nor an op timeout (give_up) of any op type")
+	}
+	if t.ConnectTimeout == 0 {
+		t.ConnectTimeout = longest
+	}
+}
+
 func (r *reader) opTypes(d *Told) {
 	needs, bounds := r.list("family_info.needs_by_class"), r.list("family_info.lag_allowed")
-	for i := range int(min(r.num("classes.count"), 256)) {
+	if n := r.num("classes.count"); n > mostTypes && r.err == nil {
+		r.err = fmt.Errorf("the settings name %.0f op types: %d at most can be told apart", n, mostTypes)
+	}
+	for i := range int(max(0, min(r.num("classes.count"), mostTypes))) {
 		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
 		t := choice.OpType{
 			Window:    r.span(at("window")),
@@ -241,14 +289,11 @@
 		}
 		if i < len(bounds) {
 			bound, err := span(bounds[i])
-			if err != nil {
+			if err != nil || bound < 0 {
 				r.fail("family_info.lag_allowed")
 			}
 			t.Bound = bound
 		}
-		if r.Values["limits.connect_timeout"] == "" {
-			d.ConnectTimeout = max(d.ConnectTimeout, t.Timeout)
-		}
 		d.OpTypes = append(d.OpTypes, t)
 		d.OpTypeNames = append(d.OpTypeNames, r.Values[at("name")])
 	}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -93,11 +93,94 @@
 	}
 }
 
-func TestMissingValuesReadAsZero(t *testing.T) {
+func TestMissingValuesReadAsZeroOrBindNobody(t *testing.T) {
 	told, err := Values{}.Read()
-	if err != nil || !reflect.DeepEqual(told, &Told{}) {
+	if err != nil || !reflect.DeepEqual(told, &Told{Deployment: choice.Deployment{MaxSends: mostSends}}) {
 		t.Errorf("%+v, %v", told, err)
 	}
+	told, err = Values{"classes.count": "3", "classes.0.name": "Any Name, really", "classes.0.give_up": "3000000000", "classes.1.name": "any name, really",
+		"classes.1.target": "200000000", "classes.2.name": "?", "rules.cold": "9000000000", "rules.fall": "3000000000", "limits.connect_timeout": "0"}.Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range [][2]time.Duration{{3 * time.Second, 3 * time.Second}, {200 * time.Millisecond, unbound}, {unbound, unbound}} {
+		if o := told.OpTypes[i]; o.Target != want[0] || o.Timeout != want[1] {
+			t.Errorf("op type %d: %v and %v, want %v", i, o.Target, o.Timeout, want)
+		}
+	}
+	if told.MaxSends != mostSends || told.ColdTime != 0 || told.ConnectTimeout != 3*time.Second {
+		t.Errorf("%+v", told)
+	}
+}
+
+// What no deployment can mean is told in one line, by its path.
+func TestSettingsThatCannotBeMeantAreRefused(t *testing.T) {
+	one := func(more ...string) Values {
+		v := Values{"classes.count": "1", "classes.0.name": "a", "classes.0.target": "1000000"}
+		for i := 0; i < len(more); i += 2 {
+			v[more[i]] = more[i+1]
+		}
+		return v
+	}
+	for part, v := range map[string]Values{
+		"latency target (target)":            one("classes.0.target", ""),
+		"classes.0.name is missing":          one("classes.0.name", ""),
+		"stands for another":                 one("classes.count", "2", "classes.1.name", "a"),
+		"257 op types":                       one("classes.count", "257"),
+		`classes.0.give_up="-1"`:             one("classes.0.give_up", "-1"),
+		`family_info.lag_allowed="-200"`:     one("family_info.lag_allowed", "-200"),
+		`limits.connect_timeout="-1"`:        one("limits.connect_timeout", "-1"),
+		`rules.fall="100000000000000000000"`: one("rules.fall", "100000000000000000000"),
+	} {
+		if _, err := v.Read(); err == nil || !strings.Contains(err.Error(), part) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", part, err)
+		}
+	}
+	if _, err := one().Read(); err != nil {
+		t.Error(err)
+	}
+}
+
+// mute is a host that does nothing.
+type mute struct{}
+
+func (mute) Send(uint32, uint32, time.Duration) {}
+func (mute) Withdraw(uint32)                    {}
+func (mute) BusyReply(uint32, time.Duration)    {}
+func (mute) Error(uint32)                       {}
+func (mute) Cancel(uint32, uint8)               {}
+func (mute) Probe(uint32)                       {}
+func (mute) Timer(uint32, time.Duration)        {}
+func (mute) AskList()                           {}
+func (mute) WatchList()                         {}
+func (mute) CloseIdle(uint32)                   {}
+func (mute) Forget(uint32)                      {}
+func (mute) Trouble(uint32, choice.Trouble)     {}
+func (mute) Log(string)                         {}
+
+// No settings, whatever they say, make the module panic.
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(asText))
+	f.Add([]byte("classes.count=1\nclasses.0.name=a\nclasses.0.target=1\nclasses.0.worth=-1\nrules.cold=1\nrules.fall=1\nrules.overload_factor=1e308"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		v, err := FromText(text)
+		if err != nil {
+			return
+		}
+		told, err := v.Read()
+		if err != nil {
+			return
+		}
+		g := choice.New(mute{}, &told.Deployment)
+		g.List(0, choice.ListCached, []choice.Listed{{ID: 1, State: choice.Ready, Primary: true}, {ID: 2, State: choice.Ready}})
+		for i := range told.OpTypes {
+			now := time.Duration(i+1) * time.Millisecond
+			g.Op(now, uint32(i), uint8(i), 0, now+time.Second, 0, 0, false)
+			g.Answer(now+1, uint32(i), 0, 1, choice.Acked, 1, false, choice.Primary, now)
+			g.Timer(now+2, 0)
+		}
+		g.Stop(time.Second)
+	})
 }
 
 func TestBadValuesAreNamed(t *testing.T) {
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -13,10 +13,10 @@
 	"gorsewell/internal/pgwire"
 )
 
-// The name and database under which the gateway's own clients come, and so it does.
+// The name under which the gateway comes to servers, whoever its clients are, and the database that every server has.
 const (
-	user     = "portal"
-	database = "crm"
+	user     = "gorsewell"
+	database = "postgres"
 )
 
 // settling is how long a connection rests after an answer.
