SIGTERM is caught before clients can come; a command that crosses an eviction is answered

The order is turned round; no test forces it. A test sets the mark of an eviction while an op is owed, as hasRoom does when a command comes between its look and its mark: it is answered and the connection stays. It fails where that counts as gone, and where the mark is left on (the reader then spins).

--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -200,12 +200,13 @@
 	if err != nil {
 		return err
 	}
+	// Before clients can come: what they have sent when SIGTERM comes is answered.
+	stop, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer unhook()
 	l, err := net.ListenTCP("tcp", addr)
 	if err != nil {
 		return err
 	}
-	stop, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer unhook()
 	work, finish := context.WithCancel(context.Background())
 	defer finish()
 
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -501,6 +501,31 @@
 	expect(t, c, "$")
 }
 
+// A command that is taken in the moment in which its connection is chosen to make room, when nothing was owed yet, is answered, and
+// the connection stays.
+func TestACommandThatCrossesAnEvictionIsAnswered(t *testing.T) {
+	t.Parallel()
+	held := make(chan *exchange.Exchange, 1)
+	f, d, addr, _ := front(t, 8, func(x *exchange.Exchange) { held <- x })
+	c := dial(t, addr)
+	for n := range 3 {
+		c.Say(pgwire.AppendQuery(nil, strings.Replace(ask, "id=1", fmt.Sprintf("id=%d", n), 1)))
+		x := <-held
+		f.mu.Lock()
+		for k := range f.conns {
+			k.leaving.Store(true)
+			k.net.SetReadDeadline(exchange.Past)
+			until(t, "the mark is off", func() bool { return !k.leaving.Load() })
+		}
+		f.mu.Unlock()
+		ack(x)
+		expect(t, c, fmt.Sprintf("v%d", n))
+	}
+	if len(d.left) > 0 {
+		t.Error("the client counts as gone")
+	}
+}
+
 func TestAnIDIsOpenOnce(t *testing.T) {
 	t.Parallel()
 	end := make(chan struct{})
