Standard names: max connections, idle and read timeout, linger, backoff

Names only, in what the review of endings touched: most, idleFor, spokeWithin, crossing and lastCalls of the client side and the pool, askWait and askMost of the module. No behaviour changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -138,7 +138,7 @@
 	checked, carried, steady         bool          // replicas check reads; reads tell marks; only probes do
 	probes, cancels, marked          bool          // allowed; allowed; clients mark what they ask for again
 	maxSends, firstNeeds             int           // sends for an op; probes before first use
-	askAt, askWait, askMost          time.Duration // for the list again, 0: not; the next wait; the longest
+	askAt, backoff, maxBackoff       time.Duration // for the list again, 0: not; the next wait; the longest
 	coldTime, overloadTime           time.Duration
 	coldFrom, coldMultiple, gateways float64
 
@@ -160,7 +160,7 @@
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
 		marked: !d.RetriesUnmarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
-		comeBack: d.MaxComeBack, askMost: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
+		comeBack: d.MaxComeBack, maxBackoff: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
 		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
 		gateways: max(1, float64(d.Gateways)), seed: d.Seed,
 		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast,
@@ -170,7 +170,7 @@
 		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{OpType: t})
 	}
-	if g.askWait = g.brief; d.ListAsked {
+	if g.backoff = g.brief; d.ListAsked {
 		h.WatchList()
 	}
 	h.Timer(0, g.tick)
@@ -772,11 +772,11 @@
 // List is called with the server list as the host last held it, in full, or with changes to it.
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
 	if scope == ListFailed {
-		g.askAt = now + time.Duration((1+g.chance())/2*float64(g.askWait)) // not in step with others
-		g.askWait = min(2*g.askWait, g.askMost)
+		g.askAt = now + time.Duration((1+g.chance())/2*float64(g.backoff)) // not in step with others
+		g.backoff = min(2*g.backoff, g.maxBackoff)
 		return
 	} else if scope != ListCached {
-		g.askAt, g.askWait = 0, g.brief
+		g.askAt, g.backoff = 0, g.brief
 	}
 	for _, gr := range g.listed {
 		for _, s := range gr.members {
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -24,25 +24,25 @@
 
 // What the protocol's pages fix.
 const (
-	lastCalls   = 500 * time.Millisecond  // a planned stop is followed by 0.4 s of arrivals, and a margin
-	crossing    = 20 * time.Millisecond   // for which a connection to be closed is still looked at
+	acceptFor   = 500 * time.Millisecond  // a planned stop is followed by 0.4 s of arrivals, and a margin
+	linger      = 20 * time.Millisecond   // for which a connection to be closed is still looked at
 	newcomer    = 10 * time.Millisecond   // in which the first bytes of a client that has some to say are here
-	spokeWithin = 2500 * time.Millisecond // who has said nothing whole is owed an end 3 s after connecting
-	idleFor     = 2 * time.Second         // after which a connection that owes nothing may be closed
-	turnedAway  = 16                      // connections beyond the most, which leave or are told so
-	longestKept = 3 * time.Second         // a planned stop leaves the longest op timeout, but no more than this,
-	killedAfter = 700 * time.Millisecond  // and this before the process is killed
+	readTimeout = 2500 * time.Millisecond // who has said nothing whole is owed an end 3 s after connecting
+	idleTimeout = 2 * time.Second         // after which a connection that owes nothing may be closed
+	turnedAway  = 16                      // connections beyond maxConns, which leave or are told so
+	maxDrain    = 3 * time.Second         // a planned stop leaves the longest op timeout, but no more than this,
+	killGrace   = 700 * time.Millisecond  // and this before the process is killed
 	farewell    = 150 * time.Millisecond  // which is left for answers to what is given up then
 )
 
 // Front is where clients come in.
 type Front struct {
-	clock   exchange.Clock
-	desk    exchange.Desk
-	counts  *counters.Set
-	told    *deployment.Told
-	opTypes map[string]uint8
-	most    int64 // connections at a time
+	clock    exchange.Clock
+	desk     exchange.Desk
+	counts   *counters.Set
+	told     *deployment.Told
+	opTypes  map[string]uint8
+	maxConns int64 // connections at a time
 
 	closing atomic.Bool // connections are closed between ops
 	mu      sync.Mutex
@@ -51,10 +51,10 @@
 	ids     map[string]struct{} // of the ops that are open
 }
 
-// New makes a front for at most most connections.
-func New(clock exchange.Clock, desk exchange.Desk, counts *counters.Set, told *deployment.Told, most int) *Front {
+// New makes a front for at most maxConns connections.
+func New(clock exchange.Clock, desk exchange.Desk, counts *counters.Set, told *deployment.Told, maxConns int) *Front {
 	f := &Front{clock: clock, desk: desk, counts: counts, told: told, opTypes: map[string]uint8{},
-		most: int64(most), conns: map[*conn]struct{}{}, gone: make(chan struct{}, 1), ids: map[string]struct{}{}}
+		maxConns: int64(maxConns), conns: map[*conn]struct{}{}, gone: make(chan struct{}, 1), ids: map[string]struct{}{}}
 	for i, name := range told.OpTypeNames {
 		f.opTypes[name] = uint8(i)
 	}
@@ -67,13 +67,13 @@
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
 		slog.Info("stopping")
-		l.SetDeadline(time.Now().Add(lastCalls))
+		l.SetDeadline(time.Now().Add(acceptFor))
 	})
 	err := f.accept(ctx, l, &group)
 	stop()
 	l.Close()
 	f.closing.Store(true)
-	giveUp := time.AfterFunc(f.longest()+killedAfter-lastCalls-farewell, f.desk.Stop)
+	giveUp := time.AfterFunc(f.longest()+killGrace-acceptFor-farewell, f.desk.Stop)
 	defer giveUp.Stop()
 	f.mu.Lock()
 	for c := range f.conns {
@@ -89,7 +89,7 @@
 	for _, t := range f.told.OpTypes {
 		longest = max(longest, t.Timeout)
 	}
-	return min(longest, longestKept)
+	return min(longest, maxDrain)
 }
 
 // accept takes connections until the listener fails, or its time is up after the context's end.
@@ -107,12 +107,12 @@
 				slog.Error("accept_failed", "error", err)
 			}
 			failing = true
-			time.Sleep(crossing)
+			time.Sleep(linger)
 			continue
 		}
 		failing = false
 		f.counts.ClientConns.Add(1)
-		if f.counts.ClientOpen.Add(1) > f.most+turnedAway { // nobody leaves
+		if f.counts.ClientOpen.Add(1) > f.maxConns+turnedAway { // nobody leaves
 			f.counts.ClientRefused.Add(1)
 			f.counts.ClientOpen.Add(-1)
 			nc.Close()
@@ -133,7 +133,7 @@
 
 // awaitRoom leaves new connections in the listener's queue for the moment that those take which are on their way out.
 func (f *Front) awaitRoom() {
-	for i := 0; i < turnedAway && f.counts.ClientOpen.Load() >= f.most+turnedAway; i++ {
+	for i := 0; i < turnedAway && f.counts.ClientOpen.Load() >= f.maxConns+turnedAway; i++ {
 		f.hasRoom(nil)
 		select {
 		case <-f.gone:
@@ -142,7 +142,7 @@
 	}
 }
 
-// hasRoom tells whether no more connections than the most will be open once those have closed that are on their way
+// hasRoom tells whether no more connections than maxConns will be open once those have closed that are on their way
 // out. Else it lets those go that have been quiet for longest, of those that are owed nothing and have either been idle for
 // long enough or never said anything of use: clients that keep a connection for good, or connect and say nothing, must
 // not keep out those who ask. The one that asks for room is not among them.
@@ -157,21 +157,21 @@
 		}
 		stay++
 		idle := now - time.Duration(c.heard.Load())
-		if c != forOne && c.owed.Load() == 0 && (idle >= idleFor || idle >= newcomer && !c.spoke.Load()) {
+		if c != forOne && c.owed.Load() == 0 && (idle >= idleTimeout || idle >= newcomer && !c.spoke.Load()) {
 			quiet = append(quiet, c)
 		}
 	}
-	if stay <= f.most {
+	if stay <= f.maxConns {
 		return true
 	}
 	slices.SortFunc(quiet, func(a, b *conn) int { return cmp.Compare(a.heard.Load(), b.heard.Load()) })
-	for _, c := range quiet[:min(int64(len(quiet)), stay-f.most)] {
+	for _, c := range quiet[:min(int64(len(quiet)), stay-f.maxConns)] {
 		stay--
 		f.counts.ClientIdleClosed.Add(1)
 		c.leaving.Store(true)
 		c.net.SetReadDeadline(exchange.Past)
 	}
-	return stay <= f.most
+	return stay <= f.maxConns
 }
 
 // findsRoom waits for a moment for room: those who came just before may turn out to have nothing to say.
@@ -239,11 +239,11 @@
 	switch { // closing on unread bytes would take back what was just written
 	case why == errProtested:
 		c.net.CloseWrite()
-		c.net.SetReadDeadline(time.Now().Add(crossing))
+		c.net.SetReadDeadline(time.Now().Add(linger))
 		io.Copy(io.Discard, c.net)
 	case why == errEnds && f.closing.Load(): // a command that crosses this is not to look read
 		c.net.CloseWrite()
-		time.Sleep(crossing)
+		time.Sleep(linger)
 	}
 	c.net.Close()
 	f.mu.Lock()
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -341,7 +341,7 @@
 func TestAPlannedStopGivesUpWhatWouldOutlastTheProcess(t *testing.T) {
 	t.Parallel()
 	f, d, addr, stop := front(t, 8, func(*exchange.Exchange) {})
-	for timeout, want := range map[time.Duration]time.Duration{time.Second: time.Second, time.Minute: longestKept} {
+	for timeout, want := range map[time.Duration]time.Duration{time.Second: time.Second, time.Minute: maxDrain} {
 		if f.told.OpTypes[1].Timeout = timeout; f.longest() != want {
 			t.Errorf("with %v it waits for %v", timeout, f.longest())
 		}
@@ -419,7 +419,7 @@
 		t.Parallel()
 		c := dial(t, addr)
 		c.Query(ask)
-		time.Sleep(spokeWithin + 100*time.Millisecond)
+		time.Sleep(readTimeout + 100*time.Millisecond)
 		if got, err := c.Query(ask); err != nil || got != "v1" {
 			t.Errorf("an idle client: %q, %v", got, err)
 		}
@@ -433,14 +433,14 @@
 	t.Parallel()
 	f, _, addr, _ := front(t, 3, func(x *exchange.Exchange) {
 		if id(x) == "1" {
-			time.Sleep(idleFor + 500*time.Millisecond)
+			time.Sleep(idleTimeout + 500*time.Millisecond)
 		}
 		ack(x)
 	})
 	busy, idle := dial(t, addr), dial(t, addr)
 	idle.Query(strings.Replace(ask, "id=1", "id=2", 1))
 	busy.Say(pgwire.AppendQuery(nil, ask))
-	time.Sleep(idleFor + 50*time.Millisecond)
+	time.Sleep(idleTimeout + 50*time.Millisecond)
 	lately := dial(t, addr)
 	lately.Query(strings.Replace(ask, "id=1", "id=3", 1))
 	silent, err := standin.Open(addr) // takes the place of the idle one
@@ -681,7 +681,7 @@
 		stop()
 		close(stopped)
 	}()
-	time.Sleep(lastCalls / 2)
+	time.Sleep(acceptFor / 2)
 	late := dial(t, addr) // clients still arrive, and use what they hold
 	if got, err := late.Query(ask); err != nil || got != "v1" {
 		t.Errorf("a late client got %q, %v", got, err)
@@ -689,7 +689,7 @@
 	if got, err := idle.Query(";"); err != nil || got != "I" {
 		t.Errorf("a held connection got %q, %v", got, err)
 	}
-	time.Sleep(lastCalls/2 - 200*time.Millisecond)
+	time.Sleep(acceptFor/2 - 200*time.Millisecond)
 	busy.Say(pgwire.AppendQuery(nil, ask)) // ends after connections begin to be closed
 	expect(t, busy, "v1")
 	expect(t, busy, "$")
@@ -711,7 +711,7 @@
 func TestAPlannedStopTakesNothingMoreFromABusyClient(t *testing.T) {
 	t.Parallel()
 	f, d, addr, stop := front(t, 8, func(x *exchange.Exchange) {
-		time.Sleep(crossing / 4)
+		time.Sleep(linger / 4)
 		ack(x)
 	})
 	c := dial(t, addr)
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -27,7 +27,7 @@
 
 // read takes what the client sends until it goes, or is to go.
 func (c *conn) read() error {
-	c.wait(time.Now().Add(spokeWithin))
+	c.wait(time.Now().Add(readTimeout))
 	if err := c.startup(); err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 		}
 		if !limited && len(c.window.Bytes()) > 0 { // a message that has begun is to end
 			limited = true
-			c.wait(time.Now().Add(spokeWithin))
+			c.wait(time.Now().Add(readTimeout))
 		}
 		if err := c.fill(); err != nil {
 			return m, err
@@ -143,7 +143,7 @@
 			return errEnds
 		default:
 			last, c.looked = true, c.front.closing.Load()
-			look := crossing
+			look := linger
 			if c.leaving.Load() && !c.spoke.Load() {
 				look = time.Millisecond // what it had to say would be here: newcomers do not leave
 			}
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -22,11 +22,11 @@
 // Pool holds the connections to all servers. A connection carries one send at a time and belongs to one
 // goroutine, which also watches it while it is idle.
 type Pool struct {
-	clock  exchange.Clock
-	events exchange.Events
-	counts *counters.Set
-	told   *deployment.Told
-	most   int // connections in all
+	clock    exchange.Clock
+	events   exchange.Events
+	counts   *counters.Set
+	told     *deployment.Told
+	maxConns int
 
 	settling time.Duration // how long a connection rests after an answer
 
@@ -57,11 +57,11 @@
 	stop      context.CancelFunc // ends its connecting
 }
 
-// New makes a pool for at most most connections. Wait must be called in the end.
+// New makes a pool for at most maxConns connections. Wait must be called in the end.
 func New(ctx context.Context, clock exchange.Clock, events exchange.Events, counts *counters.Set,
-	told *deployment.Told, most int) *Pool {
+	told *deployment.Told, maxConns int) *Pool {
 	group, ctx := errgroup.WithContext(ctx)
-	return &Pool{clock: clock, events: events, counts: counts, told: told, most: most, settling: settling, ctx: ctx, group: group,
+	return &Pool{clock: clock, events: events, counts: counts, told: told, maxConns: maxConns, settling: settling, ctx: ctx, group: group,
 		addrs: map[uint32]string{}, idle: map[uint32][]*conn{}, out: map[*exchange.Exchange]*job{}, probes: map[uint32]*job{}}
 }
 
@@ -136,7 +136,7 @@
 	ctx, stop := context.WithDeadline(p.ctx, p.clock.Time(min(j.sentAt+p.told.ConnectTimeout, j.by)))
 	j.stop = stop
 	addr := p.addrs[j.server]
-	opens := addr != "" && (p.open < p.most || p.makeRoom())
+	opens := addr != "" && (p.open < p.maxConns || p.makeRoom())
 	if opens {
 		p.open++
 		p.counts.ServerOpen.Add(1)
