Where lists are pushed, a discovery that is back is asked within half of the grace

The longest backoff there is half of the stated grace, at least 50 ms; the first is no longer than the longest (with latency targets of seconds a brief wait is longer than that). The test fails with the bound of 6 s. Nothing changes where lists are asked for.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,9 +160,9 @@
 		checked: d.Checks != Unchecked, carried: d.MarksCarried, probes: d.Probes, cancels: d.Cancels,
 		steady: d.Probes && d.ReportsPosition && !d.TellsPosition && d.Checks != Unchecked,
 		marked: !d.RetriesUnmarked, maxSends: max(1, d.MaxSends), firstNeeds: map[bool]int{true: 1}[d.Probes],
-		comeBack: d.MaxComeBack, maxBackoff: d.AskWithin / 4, coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor,
-		coldTime: max(1, d.ColdTime), overloadTime: max(1, d.OverloadTime),
-		gateways: max(1, float64(d.Gateways)), seed: d.Seed,
+		comeBack: d.MaxComeBack, maxBackoff: cmp.Or(d.AskWithin, time.Minute) / 4, seed: d.Seed,
+		coldFrom: d.ColdFrom, coldMultiple: d.OverloadFactor, coldTime: max(1, d.ColdTime),
+		overloadTime: max(1, d.OverloadTime), gateways: max(1, float64(d.Gateways)),
 		crowdedTill: LongPast, resetAt: LongPast, pausedAt: LongPast,
 		home: new([256]float64), spread: new([256]float64),
 	}
@@ -170,7 +170,7 @@
 		g.brief = min(g.brief, t.Target/briefShare)
 		g.types = append(g.types, opType{OpType: t})
 	}
-	if g.backoff = g.brief; d.ListAsked {
+	if g.backoff = min(g.brief, g.maxBackoff); d.ListAsked {
 		h.WatchList()
 	}
 	h.Timer(0, g.tick)
@@ -776,7 +776,7 @@
 		g.backoff = min(2*g.backoff, g.maxBackoff)
 		return
 	} else if scope != ListCached {
-		g.askAt, g.backoff = 0, g.brief
+		g.askAt, g.backoff = 0, min(g.brief, g.maxBackoff)
 	}
 	for _, gr := range g.listed {
 		for _, s := range gr.members {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -363,6 +363,9 @@
 		g.Timer(now+time.Minute, 0) // it is asked for once
 		want(t, h, "watch")
 	}
+	if soon, _ := start(func(d *Deployment) { d.AskWithin = 40 * ms }); soon.backoff != 10*ms || g.backoff != 800*ms {
+		t.Errorf("the first backoff is %v where 10 ms are the most; it grew to %v", soon.backoff, g.backoff)
+	}
 	g.List(now, ListChanges, nil)
 	g.List(now, ListFailed, nil)
 	g.Timer(now+25*ms, 0)
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -81,8 +81,9 @@
 	if len(told.OpTypes) == 0 {
 		return nil, nil, errors.New("the settings name no op type")
 	}
-	// On sockets no list comes by itself, whatever way the deployment has of its own: it is asked for, and one time binds.
-	told.ListAsked, told.AskWithin = true, discovery.ToldWithin
+	// On sockets no list comes by itself, whatever way the deployment has of its own: it is asked for.
+	told.AskWithin = discovery.AskWithin(told)
+	told.ListAsked = true
 	if _, _, err := discovery.NewNames(exchange.StartClock(), told).Listed(&g.Known); err != nil {
 		return nil, nil, fmt.Errorf("known: %w", err)
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -93,6 +93,7 @@
 	Zones, Kinds   []string
 	ConnectTimeout time.Duration // within which a connection comes up, or never; else the longest op timeout
 	IdleTime       time.Duration // for which a server keeps an idle connection
+	DrainGrace     time.Duration // after which nothing new may go to a server that leaves
 	LongestMessage int           // of a client or server; 0: as long as the protocol's page says
 }
 
@@ -171,6 +172,7 @@
 		Kinds:          r.list("models"),
 		ConnectTimeout: r.span("limits.connect_timeout"),
 		IdleTime:       r.span("limits.keepalive"),
+		DrainGrace:     r.span("rules.drain_grace"),
 		Deployment: choice.Deployment{
 			Gateways:        int(r.num("balancers")),
 			Round:           r.span("round"),
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -35,6 +35,18 @@
 // backoff after it (a quarter at most, as the module is told this time) and the call after that.
 const ToldWithin = 6 * time.Second
 
+// AskWithin is the time that the module is told, a quarter of which is its longest backoff. Where lists are pushed, what discovery
+// has counts as told at once, also when it comes back: then a call fails for so short a time that half of the grace is left.
+func AskWithin(told *deployment.Told) time.Duration {
+	if told.ListAsked {
+		return ToldWithin
+	}
+	return min(ToldWithin, max(2*told.DrainGrace, 4*leastBackoff))
+}
+
+// leastBackoff keeps gateways from asking a discovery that is down without a pause.
+const leastBackoff = 50 * time.Millisecond
+
 const (
 	longestWait = ToldWithin * 2 / 3 // of a watch
 	waitSpread  = ToldWithin / 10    // by which waits are shorter, by chance
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -132,7 +132,7 @@
 
 // toldAfter is how long after its change, made when discovery is well again, a gateway learns of it. Discovery falls ill a
 // while after the gateway has started, and is ill for some time; with moves the gateway is led there by a new configuration then.
-func toldAfter(t *testing.T, s *source, fallsIll, illFor time.Duration, moves bool) (took time.Duration) {
+func toldAfter(t *testing.T, s *source, fallsIll, illFor time.Duration, moves, pushed bool) (took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		s.version, s.struck, s.changed = 1, make(chan struct{}), make(chan struct{})
 		s.comes, s.closed = make(chan net.Conn), make(chan struct{})
@@ -143,7 +143,9 @@
 		waits.Go(func() { server.Serve(s) })
 		ctx, cancel := context.WithCancel(t.Context())
 		settings := &deployment.Told{}
-		settings.ListAsked, settings.AskWithin, settings.Seed = true, ToldWithin, uint64(fallsIll)
+		settings.ListAsked, settings.DrainGrace, settings.Seed = !pushed, grace, uint64(fallsIll)
+		settings.AskWithin = AskWithin(settings)
+		settings.ListAsked = true
 		settings.OpTypes = []choice.OpType{{Target: 500 * time.Millisecond, Timeout: time.Second}}
 		clock := exchange.StartClock()
 		g := &gateway{Dispatch: dispatch.New(clock, &counters.Set{}), told: make(chan time.Time, 1)}
@@ -177,6 +179,20 @@
 	return took
 }
 
+const grace = 250 * time.Millisecond
+
+// Where lists are pushed, what discovery has when it comes back counts as told at once.
+func TestAPushedChangeIsKnownWithinTheGraceOnceDiscoveryIsBack(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	for _, dials := range []func(context.Context) error{nil, func(context.Context) error { return net.ErrClosed }} {
+		for fallsIll := 100 * time.Millisecond; fallsIll < 5*time.Second; fallsIll += 530 * time.Millisecond {
+			if took := toldAfter(t, &source{ill: refuse, dials: dials}, fallsIll, 20*time.Second, false, true); took >= grace {
+				t.Errorf("ill after %v: told after %v", fallsIll, took)
+			}
+		}
+	}
+}
+
 // A change counts as told 6 s after discovery had it and could be reached, whatever failed before. Each illness strikes at
 // different moments of a watch and of the backoff, and lasts for different times.
 func TestAChangeIsKnownInTimeWhateverFailedBefore(t *testing.T) {
@@ -212,7 +228,7 @@
 			for i, illFor := range []time.Duration{time.Millisecond, 2900 * time.Millisecond, 20 * time.Second} {
 				for fallsIll := 100 * time.Millisecond; fallsIll < 5*time.Second; fallsIll += 530 * time.Millisecond {
 					moves := i == 1 && fallsIll < 2*time.Second
-					took := toldAfter(t, &source{ill: c.ill, dials: c.dials}, fallsIll, illFor, moves)
+					took := toldAfter(t, &source{ill: c.ill, dials: c.dials}, fallsIll, illFor, moves, false)
 					if worst = max(worst, took); took >= ToldWithin {
 						t.Errorf("ill after %v for %v, moves %v: told after %v", fallsIll, illFor, moves, took)
 					}
