A command whose client has left by the time that it is read is not taken

Traced: a command can wait unread, in the listener's queue (up to 0.16 s where there is no room, longer in a flood) or while the process stands still. Then query took it and sent it on at once, and only the next read showed the end behind it: an attempt that begins more than 0.1 s after its client left. Each command now asks the kernel first (POLLRDHUP); one that finds the end is not taken.

--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -187,14 +187,29 @@
 		return true
 	}
 	err = raw.Read(func(fd uintptr) bool {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		gone = err == nil && n > 0
+		gone = closed(fd)
 		return gone
 	})
 	return gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// hasLeft tells whether the client has closed its end, whatever lies unread before that.
+func (c *conn) hasLeft() (gone bool) {
+	raw, err := c.net.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) { gone = closed(fd) })
+	return gone || err != nil
+}
+
+// closed asks the kernel whether the other end of a socket is closed, or half closed, which counts as leaving too.
+func closed(fd uintptr) bool {
+	look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(look, 0)
+	return err == nil && n > 0
+}
+
 // wait lets reads wait until then, and not at all once the connection, or all of them, are to be closed. Who wants that says so
 // first and ends the wait then: whichever of the two comes last, the read ends.
 func (c *conn) wait(until time.Time) {
@@ -228,6 +243,11 @@
 	case !c.front.opens(string(s.ID)):
 		return c.unusable("42710", "an op of this id is open")
 	}
+	// A command may have waited for long, in the listener's queue or while the process stood still, and its client have left.
+	if c.hasLeft() {
+		c.front.closed(string(s.ID))
+		return errGone
+	}
 	c.spoke.Store(true)
 	now := c.front.clock.Now()
 	x := &exchange.Exchange{Statement: s, OpType: kind, Group: s.Group, Session: session(s.Key), Again: s.Again,
