Silence of a server counts against it also where the op's own time is over first

Found by reading the withdrawal once more: since a send names the latest time at which it may begin, a dial that was cut off by the op's own time, or a probe's, ended as not sent, and a silent server was blamed for neither. Probes to silent servers said nothing at all. Only a time that a rule sets, before the op's own, is no fault of the server now. Both cases are in the test and failed before.

--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -65,11 +65,11 @@
 	}
 }
 
-// refused ends a job for which no connection came up. That is no fault of its server's where the job's time was over before.
+// refused ends a job for which no connection came up. That is no fault of its server's where a rule ended the job's time first.
 func (p *Pool) refused(j *job) {
 	p.counts.ServerRefused.Add(1)
 	e := exchange.Ended{Result: choice.NoConnection, Position: choice.LongPast}
-	if p.clock.Now() >= j.by {
+	if j.by < j.due && p.clock.Now() >= j.by {
 		e.Result = choice.NotSent
 	}
 	p.end(j, e)
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -272,6 +272,15 @@
 			t.Errorf("server %d: %+v", at, r)
 		}
 	}
+	// Silence is its server's fault too where the op's own time, or a probe's, is over before the connection's.
+	p.send(op(t), 0, 9, p.clock.Now()+30*time.Millisecond)
+	if r := e.next(t); r.Result != choice.NoConnection {
+		t.Errorf("an op with little time: %+v", r)
+	}
+	p.Probe(9)
+	if r := e.next(t); r.Result != choice.NoConnection {
+		t.Errorf("a probe: %+v", r)
+	}
 	if p.counts.Sent.Load() != 0 {
 		t.Error("something was sent")
 	}
