A busy discovery is not asked in vain: calls wait their turn, and a watch is opened once

Cause: discovery handles calls one after another and lets each wait for two seconds at most. callTimeout was 1.2 s: nearly every call that was queued was given up before its turn and handled all the same, and asked again: a congestion collapse that began with two queued calls of each gateway at the start (one without a wait, then the watch). Lines: the times in discovery.go, stay and changes.

Ruled out: the module's backoff (askAt came due each time), connections (2.3 ms to each 503), watches that go on (not queued, never late).

Calls that may be queued have 2.4 s. The first call of a watch waits for 10 ms and the long ones go on with it, so a gateway is queued once. To stay within 6 s watches wait for 1.8 to 2.4 s, are given up 1 s later, and the backoff is 1.2 s at most.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,14 +32,14 @@
 // ToldWithin is how long after a change a gateway counts as told of it, whatever failed before, if discovery had it and could be
 // reached. What is below is cut from it, so that it holds for any time to ask in that the settings may give: a watch that falls
 // silent as soon as it is opened is given up, and another call answered, within that time; and so is a call that was lost, the
-// backoff after it (a quarter at most, as the module is told this time) and the call after that.
+// backoff after it and the call after that.
 const ToldWithin = 6 * time.Second
 
 // AskWithin is the time that the module is told, a quarter of which is its longest backoff. Where lists are pushed, what discovery
 // has counts as told at once, also when it comes back: then a call fails for so short a time that half of the grace is left.
 func AskWithin(told *deployment.Told) time.Duration {
 	if told.ListAsked {
-		return ToldWithin
+		return ToldWithin * 4 / 5
 	}
 	return min(ToldWithin, max(2*told.DrainGrace, 4*leastBackoff))
 }
@@ -47,11 +47,15 @@
 // leastBackoff keeps gateways from asking a discovery that is down without a pause.
 const leastBackoff = 50 * time.Millisecond
 
+// Discovery handles calls one after another, and lets each wait for up to two seconds. A call that is given up sooner is handled all
+// the same: where gateways that started together do so and ask again, discovery works for nobody, and none of them is told anything
+// for good. So a call that is to be queued is given longer than that.
 const (
-	longestWait = ToldWithin * 2 / 3 // of a watch
-	waitSpread  = ToldWithin / 10    // by which waits are shorter, by chance
-	lateBy      = ToldWithin / 10    // how long after its wait a watch's answer may come
-	callTimeout = ToldWithin / 5     // of a call that does not wait, connecting included
+	openingWait = 10 * time.Millisecond // of the call that opens a watch: the next one goes on with it and is not queued anew
+	longestWait = ToldWithin * 2 / 5    // of a watch that goes on
+	waitSpread  = ToldWithin / 10       // by which waits are shorter, by chance
+	lateBy      = ToldWithin / 6        // how long after its wait a watch's answer may come
+	callTimeout = ToldWithin * 2 / 5    // of any other call, connecting included
 )
 
 // Page is a list of servers as discovery writes it.
@@ -184,6 +188,7 @@
 	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	chance  *rand.Rand
 	held    bool // the version is one that this discovery has counted
+	opened  bool // a watch is open: the last call was one and has just been answered
 	version uint64
 	ask     chan struct{}
 	watch   chan struct{}
@@ -269,35 +274,39 @@
 	watching := false
 	for here.Err() == nil {
 		if watching && len(c.ask) == 0 {
-			watching = c.changes(here, c.drawn())
+			watching = c.changes(here)
 			continue
 		}
 		select {
 		case <-here.Done():
 		case <-c.ask:
+			c.opened = false
 			c.call(here, "", c.within)
 		case <-c.watch:
-			watching = c.changes(here, 0) // without a wait, so that each asking has its answer
+			c.opened = false
+			watching = c.changes(here)
 		}
 	}
 }
 
 // drawn is how long a watch waits: gateways that start together, or hear of one change, would else ask in step for good.
-// Discovery answers calls one after another, and turns away those that wait too long.
 func (c *Client) drawn() time.Duration {
 	return longestWait - time.Duration(c.chance.Int64N(int64(waitSpread)+1))
 }
 
-// changes asks for what is newer than the list held, and waits for it; where none is, for the whole list.
-func (c *Client) changes(ctx context.Context, wait time.Duration) bool {
+// changes asks for what is newer than the list held, and waits for it; where none is, for the whole list. The first such call
+// hardly waits: each asking has its answer, and what follows is the same watch.
+func (c *Client) changes(ctx context.Context) bool {
 	if !c.held {
 		return c.call(ctx, "", c.within)
 	}
-	limit := c.within
-	if wait > 0 {
+	wait, limit := openingWait, c.within
+	if c.opened {
+		wait = c.drawn()
 		limit = wait + lateBy
 	}
-	return c.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", c.version, wait.Milliseconds()), limit)
+	c.opened = c.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", c.version, wait.Milliseconds()), limit)
+	return c.opened
 }
 
 // call makes one call and hands over what it told; false if it failed.
