Commands beyond sixteen at once wait, and nobody waits long in the listener's queue

Two connections ended there with 54000, each with 16 commands waiting: query returned errMany at the seventeenth, and what the client had sent behind it was read and dropped. Clients may send many commands at once. Ruled out: planned stops, evictions, readers that went (the other 207 ends with something owed were the clients' own). Now the reader stops at sixteen until an answer is written (pause), its client's leaving is seen meanwhile, and what it has read is taken also when a planned stop begins.

Requests whose clients left at their own time had been read 0.3 to 0.9 s late, all at 16 to 18 s, in the flood. awaitRoom kept the acceptor for up to 0.16 s before each accept (0.43 s of a second at n0), while those behind waited in the listener's queue, which their time does not show. Ruled out: the machine's share of the core (0.10 s of 0.27), TCP_INFO (tells no such wait here). Now it waits for room after accepting, and for nobody once there have always been some in the queue for 50 ms (asked of the kernel).

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
@@ -30,6 +31,7 @@
 	readTimeout = 2500 * time.Millisecond // who has said nothing whole is owed an end 3 s after connecting
 	idleTimeout = 2 * time.Second         // after which a connection that owes nothing may be closed
 	turnedAway  = 16                      // connections beyond maxConns, which leave or are told so
+	longQueue   = 50 * time.Millisecond   // for which there may be connections in the listener's queue
 	maxDrain    = 3 * time.Second         // a planned stop leaves the longest op timeout, but no more than this,
 	killGrace   = 700 * time.Millisecond  // and this before the process is killed
 	farewell    = 150 * time.Millisecond  // which is left for answers to what is given up then
@@ -94,8 +96,9 @@
 
 // accept takes connections until the listener fails, or its time is up after the context's end.
 func (f *Front) accept(ctx context.Context, l *net.TCPListener, group *errgroup.Group) error {
+	queue := &backlog{listener: l, clock: f.clock, emptyAt: f.clock.Now()}
 	for failing, last := false, false; ; {
-		f.awaitRoom()
+		queue.age()
 		nc, err := l.AcceptTCP()
 		switch {
 		case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
@@ -118,7 +121,8 @@
 		}
 		failing = false
 		f.counts.ClientConns.Add(1)
-		if f.counts.ClientOpen.Add(1) > f.maxConns+turnedAway { // nobody leaves
+		f.counts.ClientOpen.Add(1)
+		if !f.awaitRoom(queue) { // nobody leaves
 			f.counts.ClientRefused.Add(1)
 			f.counts.ClientOpen.Add(-1)
 			nc.Close()
@@ -137,15 +141,39 @@
 	}
 }
 
-// awaitRoom leaves new connections in the listener's queue for the moment that those take which are on their way out.
-func (f *Front) awaitRoom() {
-	for i := 0; i < turnedAway && f.counts.ClientOpen.Load() >= f.maxConns+turnedAway; i++ {
+// awaitRoom waits for the moment that those take which are on their way out; false where none leaves in time. While it waits
+// others wait in the listener's queue, and their time runs unseen: where some always have for long, nobody is waited for.
+func (f *Front) awaitRoom(b *backlog) bool {
+	for i := 0; f.counts.ClientOpen.Load() > f.maxConns+turnedAway; i++ {
+		if i >= turnedAway || b.age() >= longQueue {
+			return false
+		}
 		f.hasRoom(nil)
 		select {
 		case <-f.gone:
 		case <-time.After(newcomer):
 		}
 	}
+	return true
+}
+
+// backlog is the listener's queue, as its acceptor sees it.
+type backlog struct {
+	listener *net.TCPListener
+	clock    exchange.Clock
+	emptyAt  time.Duration // when it was last seen empty
+}
+
+// age tells for how long there have been connections in the queue, at most.
+func (b *backlog) age() time.Duration {
+	waiting, now := true, b.clock.Now()
+	if raw, err := b.listener.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { waiting = polled(fd, unix.POLLIN) })
+	}
+	if !waiting {
+		b.emptyAt = now
+	}
+	return now - b.emptyAt
 }
 
 // hasRoom tells whether no more connections than maxConns will be open once those have closed that are on their way
@@ -217,6 +245,8 @@
 	queue  chan reply // in the order of the commands
 	open   []*exchange.Exchange
 	looked bool         // for a last command, at a planned stop
+	mu     sync.Mutex   // around the reader's going to sleep and its waking
+	paused bool         // the reader waits for an answer to be written
 	owed   atomic.Int32 // replies queued and not written
 
 	waiting atomic.Int32 // of them, those to commands
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -54,6 +54,7 @@
 		c.heard.Store(int64(c.front.clock.Now()))
 		if r.command {
 			c.waiting.Add(-1)
+			c.resume()
 		}
 		owed := c.owed.Add(-1)
 		invariant.Check(owed >= 0, "no more replies are written than are owed")
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -14,7 +14,7 @@
 	"gorsewell/internal/pgwire"
 )
 
-// queueSize is how many commands of one client may wait for their answers; who sends more at once is let go.
+// queueSize is how many commands of one client may wait for their answers; no more are read until one is answered.
 const queueSize = 16
 
 // besides is how many replies there may be that answer no command: encryption declined three times, a welcome, a protest.
@@ -25,7 +25,6 @@
 	errGone      = errors.New("the client has gone")
 	errProtested = errors.New("the client is told that nothing more is taken, and why")
 	errEnds      = errors.New("the connection is to be closed")
-	errMany      = errors.New("too many commands at once")
 )
 
 // read takes what the client sends until it goes, or is to go.
@@ -35,6 +34,9 @@
 		return err
 	}
 	for {
+		if err := c.pause(); err != nil {
+			return err
+		}
 		m, err := c.next()
 		switch {
 		case err != nil:
@@ -55,7 +57,7 @@
 	code := "08P01"
 	switch err {
 	case pgwire.ErrMalformed, pgwire.ErrVersion:
-	case pgwire.ErrTooLong, errMany:
+	case pgwire.ErrTooLong:
 		code = "54000"
 		c.front.counts.Unusable.Add(1)
 	default:
@@ -66,6 +68,35 @@
 	return errProtested
 }
 
+// pause holds back a client that has as many commands waiting as there may be: nothing is read until one is answered, and its
+// leaving is seen meanwhile. Commands that have been read already are taken afterwards, also at a planned stop.
+func (c *conn) pause() error {
+	for c.waiting.Load() >= queueSize {
+		c.mu.Lock()
+		c.paused = c.waiting.Load() >= queueSize // else its answerer has passed by and wakes nobody
+		c.net.SetReadDeadline(time.Time{})
+		c.mu.Unlock()
+		gone := c.paused && c.leaves()
+		c.mu.Lock()
+		c.paused = false // from here on no late wake ends another wait
+		c.wait(time.Time{})
+		c.mu.Unlock()
+		if gone {
+			return errGone
+		}
+	}
+	return nil
+}
+
+// resume wakes a reader that pauses.
+func (c *conn) resume() {
+	c.mu.Lock()
+	if c.paused {
+		c.net.SetReadDeadline(exchange.Past)
+	}
+	c.mu.Unlock()
+}
+
 // startup reads the packet with which a session begins and lets the client in.
 func (c *conn) startup() error {
 	for declined := 0; ; {
@@ -207,8 +238,11 @@
 }
 
 // closed asks the kernel whether the other end of a socket is closed, or half closed, which counts as leaving too.
-func closed(fd uintptr) bool {
-	look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+func closed(fd uintptr) bool { return polled(fd, unix.POLLRDHUP) }
+
+// polled asks the kernel whether something has happened at a socket, without waiting.
+func polled(fd uintptr, what int16) bool {
+	look := []unix.PollFd{{Fd: int32(fd), Events: what}}
 	n, err := unix.Poll(look, 0)
 	return err == nil && n > 0
 }
@@ -228,9 +262,6 @@
 	if err != nil {
 		return err
 	}
-	if c.waiting.Load() >= queueSize {
-		return errMany
-	}
 	if trimmed := bytes.Trim(text, " ;\n\t"); len(trimmed) == 0 {
 		c.spoke.Store(true)
 		c.answers(pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQuery)))
