Silent clients are waited for to leave, however long the listener's queue has been

Seen in a run of the whole test command: AFloodOfSilentConnectionsKeepsNobodyOut failed, client_refused=13. Since the queue's age ends the wait for room (50 ms), connections of a flood that says nothing were turned away, although each leaves 10 ms later; with 120 ms still (12 of 36 runs on a busy machine).

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -142,10 +142,11 @@
 }
 
 // awaitRoom waits for the moment that those take which are on their way out; false where none leaves in time. While it waits
-// others wait in the listener's queue, and their time runs unseen: where some always have for long, nobody is waited for.
+// others wait in the listener's queue, and their time runs unseen: where some always have for long, nobody is waited for, unless
+// most places are held by clients that have said nothing, who leave within moments.
 func (f *Front) awaitRoom(b *backlog) bool {
 	for i := 0; f.counts.ClientOpen.Load() > f.maxConns+turnedAway; i++ {
-		if i >= turnedAway || b.age() >= longQueue {
+		if i >= turnedAway || b.age() >= longQueue && !f.mostlySilent() {
 			return false
 		}
 		f.hasRoom(nil)
@@ -157,6 +158,19 @@
 	return true
 }
 
+// mostlySilent tells whether most of those who are here have said nothing of use.
+func (f *Front) mostlySilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	silent := 0
+	for c := range f.conns {
+		if !c.spoke.Load() {
+			silent++
+		}
+	}
+	return 2*silent > len(f.conns)
+}
+
 // backlog is the listener's queue, as its acceptor sees it.
 type backlog struct {
 	listener *net.TCPListener
