--- a/internal/loopback/rig.go
+++ b/internal/loopback/rig.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,9 @@
 	return d.Shape(index, settings(&d.World))
 }
 
+// handedOut counts the addresses that were.
+var handedOut atomic.Int64
+
 // rig is a day under way.
 type rig struct {
 	Day
@@ -182,8 +186,11 @@
 
 // free finds a port that nobody holds, for TCP and UDP.
 func free() (string, error) {
+	// An address of its own: the port is free while the process is down, and others on this machine, connections among them,
+	// take free ports of 127.0.0.1.
+	host := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8%64, os.Getpid()&255, 1+handedOut.Add(1)%250)
 	for range 20 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return "", err
 		}
