--- a/review/rig/clients.go
+++ b/review/rig/clients.go
@@ -9,7 +9,7 @@
 )
 
 // cases holds the plays by name.
-var cases = map[string]func(*rig){"memory": memory, "stall": stall, "stop": stop}
+var cases = map[string]func(*rig){"memory": memory, "stall": stall, "stop": stop, "surplus": surplus, "leave": leave}
 
 // capitolServers starts two groups of a primary and three replicas with three cores each.
 func (r *rig) capitolServers(work func(class, statement string) time.Duration) {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -143,7 +143,7 @@
 func (r *rig) list() map[string]any {
 	var all []any
 	for _, s := range r.servers {
-		all = append(all, map[string]any{"id": s.id, "addr": s.listener.Addr().String(), "zone": "a", "kind": "std",
+		all = append(all, map[string]any{"id": s.id, "addr": s.addr, "zone": "a", "kind": "std",
 			"cell": s.group, "state": "in_service", "role": s.role(), "weight": 1.0, "started_ms": 0})
 	}
 	return map[string]any{"version": listVersion, "full": true, "servers": all}
@@ -282,6 +282,7 @@
 	}
 	if q.answer.kind == "acked" && q.answer.value != valueOf(id) {
 		q.answer.kind = "no answer: foreign value"
+		r.note(q.answer.at, "client got the %q for id=%s", q.answer.value, id)
 	}
 	r.note(q.sentAt, "client sent %-16s id=%s d=%d to gateway %s", class, id, wait.Milliseconds(), g.name)
 	r.note(q.answer.at, "client got  %-16s id=%s after %.3f s: %s", class, id, q.answer.at.Sub(q.sentAt).Seconds(), q.answer.kind)
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -36,9 +37,11 @@
 	bounds  map[string]time.Duration
 	rig     *rig
 
-	listener net.Listener
-	open     atomic.Int32
-	hangs    atomic.Bool // takes statements and probes and answers none
+	addr   string // as discovery lists it
+	open   atomic.Int32
+	hangs  atomic.Bool // takes statements and probes and answers none
+	pieces bool        // answers come in pieces, up to maxGap apart
+	copies float64     // share of answers with a second copy right behind, if nothing waits on the connection then
 
 	mu       sync.Mutex
 	attempts []attempt
@@ -52,7 +55,7 @@
 		r.cannotRun("listening: %v", err)
 	}
 	s := &server{id: id, group: group, primary: primary, lag: 10 * time.Millisecond, work: work, cores: make(chan struct{}, cores),
-		queue: int32(cores * 16), bounds: bounds, rig: r, listener: l}
+		queue: int32(cores * 16), bounds: bounds, rig: r, addr: l.Addr().String()}
 	r.servers = append(r.servers, s)
 	go func() {
 		for {
@@ -125,16 +128,42 @@
 		}
 		statement := strings.TrimRight(string(m.body), "\x00")
 		reply := s.process(statement)
+		whole := reply
 		if reply == nil { // hangs: the connection stays open and quiet
 			io.Copy(io.Discard, reader)
 			return
 		}
+		if s.pieces && len(reply) > 1 {
+			cut := 1 + rand.IntN(len(reply)-1)
+			c.Write(reply[:cut])
+			time.Sleep(pieceGap())
+			reply = reply[cut:]
+		}
 		if _, err := c.Write(reply); err != nil {
 			return
 		}
+		if id := comment(statement)["id"]; id != "" && rand.Float64() < s.copies && !hasInput(c, reader, pieceGap()) {
+			s.rig.note(time.Now(), "server %s sends a second copy of the answer to id=%s", s.id, id)
+			if _, err := c.Write(whole); err != nil {
+				return
+			}
+		}
 	}
 }
 
+// pieceGap returns the time between two pieces of what a server sends.
+func pieceGap() time.Duration {
+	return time.Duration((1 + rand.Float64()*7) * float64(time.Millisecond))
+}
+
+// hasInput reports whether anything arrives on a connection within a time.
+func hasInput(c net.Conn, reader *bufio.Reader, within time.Duration) bool {
+	c.SetReadDeadline(time.Now().Add(within))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := reader.Peek(1)
+	return err == nil
+}
+
 // process returns the answer to a statement, or nil if there is none.
 func (s *server) process(statement string) []byte {
 	now := time.Now()
