--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -142,8 +142,10 @@
 		if _, err := c.Write(reply); err != nil {
 			return
 		}
-		if id := comment(statement)["id"]; id != "" && rand.Float64() < s.copies && !hasInput(c, reader, pieceGap()) {
-			s.rig.note(time.Now(), "server %s sends a second copy of the answer to id=%s", s.id, id)
+		gap := pieceGap()
+		if id := comment(statement)["id"]; id != "" && rand.Float64() < s.copies && !hasInput(c, reader, gap) {
+			s.rig.note(time.Now(), "server %s sends a second copy of the answer to id=%s, %.1f ms behind it", s.id, id,
+				gap.Seconds()*1000)
 			if _, err := c.Write(whole); err != nil {
 				return
 			}
