A planned stop answers all commands that have arrived before it closes a connection

Cause: `fill` returned errClosing during a planned stop as soon as it needed input while replies were pending, without looking whether whole commands lay unread in the socket behind the sixteen that are processed at a time. Commands behind the 4 KiB of the last read, and those that came while another one was under way, were dropped in the same way. Change: a stopping connection closes when it has neither a pending reply nor unread input in the kernel. 0.15 s before the earliest kill all ops end, each connection reads the bytes that have arrived by then (SIOCINQ) and no more, and the decision module gives up at once what is submitted after Stop. The time for an incomplete message is kept in the connection, as pending replies cleared the read deadline that held it: a half command behind an open op was never closed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -241,6 +241,7 @@
 	connShortageEnd   time.Duration // until then connections are assumed to be scarce
 	lastResetAt       time.Duration // when a connection was last reset
 
+	stopped         bool  // the process is about to end
 	expectedRetries []*op // ops that ended unanswered and that clients may retry, oldest first
 	seed            uint64
 	randomDraws     uint64 // random numbers drawn so far
@@ -296,6 +297,10 @@
 		o.minPosition = LongPast
 	}
 	g.ops[id] = o
+	if g.stopped {
+		g.giveUp(now, o)
+		return
+	}
 	g.probeBudget += probesPerOp
 	if g.steadyProbing {
 		g.probeLongestUnprobed(now, o.group)
@@ -415,10 +420,14 @@
 	}
 }
 
-// Stop gives up all ops before the process ends, while their clients can still be answered.
+// Stop gives up all ops before the process ends, while their clients can still be answered. Ops that arrive later are
+// given up at once.
 func (g *Gateway) Stop(now time.Duration) {
+	g.stopped = true
 	for _, o := range g.ops {
-		g.giveUp(now, o)
+		if !o.done {
+			g.giveUp(now, o)
+		}
 	}
 }
 
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -75,9 +75,12 @@
 	// maxConns is the maximum number of connections that stay open. Up to overflowConns more are accepted.
 	maxConns int64
 
-	// stopping is true once connections are closed as soon as they have no open ops.
+	// stopping is true from the second phase of a planned stop on, see stop.go.
 	stopping atomic.Bool
 
+	// finalReads is true in the last phase of a planned stop.
+	finalReads atomic.Bool
+
 	// mu guards conns and openIDs.
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -102,8 +105,8 @@
 }
 
 // Serve accepts connections until the context ends and for stopAcceptPeriod after that. Then it closes each connection
-// once its open ops have ended, and returns when the last one is closed. Ops that would outlast the process are ended
-// shortly before the process is killed.
+// once all its commands are answered, and returns when the last one is closed. Ops that would outlast the process are
+// ended shortly before the process is killed.
 func (a *Acceptor) Serve(ctx context.Context, l *net.TCPListener) error {
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
@@ -113,14 +116,9 @@
 	err := a.accept(ctx, l, &group)
 	stop()
 	l.Close()
-	a.stopping.Store(true)
-	endOps := time.AfterFunc(a.longestOpTimeout()+killGrace-stopAcceptPeriod-finalReplyTime, a.dispatcher.Stop)
+	a.beginClosing()
+	endOps := time.AfterFunc(a.longestOpTimeout()+killGrace-stopAcceptPeriod-finalReplyTime, a.endOps)
 	defer endOps.Stop()
-	a.mu.Lock()
-	for c := range a.conns {
-		c.net.SetReadDeadline(exchange.Past)
-	}
-	a.mu.Unlock()
 	return errors.Join(err, group.Wait())
 }
 
@@ -299,8 +297,8 @@
 	a.mu.Unlock()
 }
 
-// conn is one client connection. Its reader goroutine owns readBuffer, openOps and finalReadDone, its writer goroutine
-// does all writes.
+// conn is one client connection. Its reader goroutine owns all fields down to finalBytes but replies, its writer
+// goroutine does all writes.
 type conn struct {
 	acceptor   *Acceptor
 	net        *net.TCPConn
@@ -312,8 +310,17 @@
 	// openOps holds the ops of the connection that have not ended. Ended ones are removed when an op is added.
 	openOps []*exchange.Exchange
 
-	// finalReadDone is true once a last command has been looked for during a planned stop.
-	finalReadDone bool
+	// inputDeadline is when the message that is being read has to be complete, zero if that time is not limited.
+	inputDeadline time.Time
+
+	// idleGraceEnd is until when the connection may be idle during a planned stop, zero before it is.
+	idleGraceEnd time.Time
+
+	// finalBytesKnown is true once finalBytes has been set.
+	finalBytesKnown bool
+
+	// finalBytes is how many bytes may still be read in the last phase of a planned stop.
+	finalBytes int
 
 	// mu guards readPaused, and with it the read deadlines that pause and resume the reader.
 	mu sync.Mutex
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -30,6 +30,9 @@
 	submitted []*exchange.Exchange
 	left      chan *exchange.Exchange
 	onSubmit  func(op *exchange.Exchange)
+
+	// ignoresStop makes Stop leave the open ops open.
+	ignoresStop bool
 }
 
 func (d *fakeDispatcher) Submit(op *exchange.Exchange) {
@@ -46,7 +49,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, op := range d.submitted {
-		if !op.IsDone() {
+		if !op.IsDone() && !d.ignoresStop {
 			finish(op, exchange.Errored)
 		}
 	}
@@ -312,6 +315,7 @@
 func stoppingClient(t *testing.T) (d *fakeDispatcher, c *standin.Client, stopped chan struct{}) {
 	t.Helper()
 	a, d, addr, stop := startAcceptor(t, 8, func(*exchange.Exchange) {})
+	d.ignoresStop = true
 	c = dial(t, addr)
 	c.WriteBytes(numberedQueries(1))
 	waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) == 1 })
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"gorsewell/choice"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/pgwire"
@@ -31,7 +29,7 @@
 
 // read reads from the client until it disconnects or the connection has to be closed.
 func (c *conn) read() error {
-	c.setReadDeadline(time.Now().Add(readTimeout))
+	c.limitInputTime()
 	if err := c.startup(); err != nil {
 		return err
 	}
@@ -132,19 +130,20 @@
 	}
 }
 
-// readMessage reads one message, which stays valid until the next call.
+// readMessage reads one message, which stays valid until the next call. The rest of an incomplete message has to arrive
+// within readTimeout.
 func (c *conn) readMessage() (pgwire.Message, error) {
-	for limited := !c.sentCommand.Load(); ; {
+	for {
 		m, ok, err := c.readBuffer.Next()
-		if ok && limited {
-			c.setReadDeadline(time.Time{})
+		if ok && !c.inputDeadline.IsZero() {
+			c.inputDeadline = time.Time{}
+			c.setReadDeadline(c.inputDeadline)
 		}
 		if ok || err != nil {
 			return m, err
 		}
-		if !limited && len(c.readBuffer.Bytes()) > 0 { // the rest of an incomplete message has to arrive in time
-			limited = true
-			c.setReadDeadline(time.Now().Add(readTimeout))
+		if c.inputDeadline.IsZero() && len(c.readBuffer.Bytes()) > 0 {
+			c.limitInputTime()
 		}
 		if err := c.fill(); err != nil {
 			return m, err
@@ -152,36 +151,40 @@
 	}
 }
 
-// fill reads more bytes. A read that times out is a sign that the connection has to be closed, during a planned stop,
-// by eviction or because of the read timeout. Then fill returns errClosing if no reply is pending and no command
-// arrives within a short grace period. If replies are pending it returns errClosing at once during a planned stop, else
-// it goes on reading.
-//
-// During a planned stop it looks for such a command only once and reads nothing more after that, however busy the
-// connection is. Otherwise a client that sends its next command right after each reply would be served on the
-// connection until the process is killed, and its open ops would be lost. Bytes that stay unread in the socket turn the
-// close into a reset, which tells the client that the command was not processed.
+// limitInputTime starts the time in which the next message has to be complete.
+func (c *conn) limitInputTime() {
+	c.inputDeadline = time.Now().Add(readTimeout)
+	c.setReadDeadline(c.inputDeadline)
+}
+
+// inputOverdue reports whether the time is over in which a message had to be complete.
+func (c *conn) inputOverdue() bool {
+	return !c.inputDeadline.IsZero() && !time.Now().Before(c.inputDeadline)
+}
+
+// fill reads more bytes. A read that times out is a sign that the connection has to be closed, by eviction, because of
+// the read timeout or during a planned stop. Then fill returns errClosing if no reply is pending and no command arrives
+// within a short grace period. If replies are pending it goes on reading. A message that is overdue ends the connection
+// once all that has arrived is read: the process may have stood still while the rest of the message arrived.
 func (c *conn) fill() error {
-	for graceUsed := false; ; {
-		n, err := c.net.Read(c.readBuffer.Space())
-		c.readBuffer.Filled(n)
+	for graceUsed := false; !c.acceptor.stopping.Load(); {
+		_, err := c.readOnce(c.readBuffer.Space())
 		switch {
-		case n > 0:
-			c.lastActivity.Store(int64(c.acceptor.clock.Now()))
-			c.evicting.Store(false)
-			return nil
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return errClientGone
-		case c.pendingReplies.Load() > 0 && c.acceptor.stopping.Load():
-			return errClosing
+		case err == nil || !errors.Is(err, os.ErrDeadlineExceeded):
+			return err
+		case c.inputOverdue():
+			if !c.hasUnreadInput() {
+				return errClosing
+			}
+			c.net.SetReadDeadline(time.Time{}) // the read will not wait
 		case c.pendingReplies.Load() > 0:
 			graceUsed = false
 			c.evicting.Store(false)
-			c.setReadDeadline(time.Time{})
-		case graceUsed || c.finalReadDone:
+			c.setReadDeadline(c.inputDeadline)
+		case graceUsed:
 			return errClosing
 		default:
-			graceUsed, c.finalReadDone = true, c.acceptor.stopping.Load()
+			graceUsed = true
 			grace := closeGrace
 			if c.evicting.Load() && !c.sentCommand.Load() {
 				grace = time.Millisecond // eviction waits for firstBytesWait: a command would have arrived
@@ -189,6 +192,23 @@
 			c.net.SetReadDeadline(time.Now().Add(grace))
 		}
 	}
+	return c.fillDuringStop()
+}
+
+// readOnce reads n bytes into the given free space of the read buffer. It returns errClientGone for any error but a
+// timeout.
+func (c *conn) readOnce(space []byte) (n int, err error) {
+	n, err = c.net.Read(space)
+	c.readBuffer.Filled(n)
+	switch {
+	case n > 0:
+		c.lastActivity.Store(int64(c.acceptor.clock.Now()))
+		c.evicting.Store(false)
+		return n, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return 0, err
+	}
+	return 0, errClientGone
 }
 
 // maxFastDiscard is how many bytes after rejected input are discarded as fast as they arrive. Beyond that, discarding
@@ -197,9 +217,8 @@
 
 // awaitReplies waits until all pending replies are written and then returns the reason. It returns errClientGone if the
 // client disconnects earlier: its open ops must then not be sent to a server again. Input after rejected input is
-// discarded, so that the end of the stream becomes visible. Input after the last read of a planned stop stays unread,
-// which tells the client that it was not processed, and the kernel is asked whether the client has closed the
-// connection.
+// discarded, so that the end of the stream becomes visible. Other input stays unread, which tells the client that it was
+// not processed, and the kernel is asked whether the client has closed the connection.
 func (c *conn) awaitReplies(reason error) error {
 	c.readingDone.Store(true) // from here on the writer ends the wait after the last reply
 	for fastLeft := maxFastDiscard; ; {
@@ -222,40 +241,6 @@
 	}
 }
 
-// awaitClientClose waits, without reading, until the client closes its end and returns true. It returns false when the
-// read deadline passes.
-func (c *conn) awaitClientClose() (gone bool) {
-	rawConn, err := c.net.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = rawConn.Read(func(fd uintptr) bool {
-		gone = peerClosed(fd)
-		return gone
-	})
-	return gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// clientClosed reports whether the client has closed its end, even if there are unread bytes before that.
-func (c *conn) clientClosed() (gone bool) {
-	rawConn, err := c.net.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = rawConn.Control(func(fd uintptr) { gone = peerClosed(fd) })
-	return gone || err != nil
-}
-
-// peerClosed asks the kernel whether the peer of a socket has closed it or shut down its writing side.
-func peerClosed(fd uintptr) bool { return poll(fd, unix.POLLRDHUP) }
-
-// poll asks the kernel, without waiting, whether any of the events has occurred on a socket.
-func poll(fd uintptr, events int16) bool {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0
-}
-
 // setReadDeadline sets the deadline of reads, or ends them at once if the connection is being evicted or the acceptor
 // is stopping. Evicting and stopping set their flag first and the deadline second, so whichever of the two calls is
 // last ends the read.
--- /dev/null
+++ b/internal/clientside/socket.go
@@ -0,0 +1,65 @@
+package clientside
+
+import (
+	"errors"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+// awaitClientClose waits, without reading, until the client closes its end and returns true. It returns false when the
+// read deadline passes.
+func (c *conn) awaitClientClose() (gone bool) {
+	rawConn, err := c.net.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = rawConn.Read(func(fd uintptr) bool {
+		gone = peerClosed(fd)
+		return gone
+	})
+	return gone || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// clientClosed reports whether the client has closed its end, even if there are unread bytes before that.
+func (c *conn) clientClosed() (gone bool) {
+	rawConn, err := c.net.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = rawConn.Control(func(fd uintptr) { gone = peerClosed(fd) })
+	return gone || err != nil
+}
+
+// peerClosed asks the kernel whether the peer of a socket has closed it or shut down its writing side.
+func peerClosed(fd uintptr) bool { return poll(fd, unix.POLLRDHUP) }
+
+// hasUnreadInput reports whether a read would not wait: the client's bytes, or the end of its stream, have arrived.
+func (c *conn) hasUnreadInput() (ready bool) {
+	rawConn, err := c.net.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = rawConn.Control(func(fd uintptr) { ready = poll(fd, unix.POLLIN) })
+	return ready || err != nil
+}
+
+// unreadBytes returns how many bytes of the client have arrived and were not read. It returns 0 if the socket fails.
+func (c *conn) unreadBytes() (n int) {
+	rawConn, err := c.net.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	rawConn.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// poll asks the kernel, without waiting, whether any of the events has occurred on a socket.
+func poll(fd uintptr, events int16) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -131,6 +131,13 @@
 		t.Errorf("got outcomes %d without a send, %d of a read in flight, %d of a write in flight; want busy replies and an error",
 			unsent.Outcome, read.Outcome, write.Outcome)
 	}
+	sent := len(d.table)
+	if late := submitOp(d, 0, time.Second); late.Outcome != exchange.BusyReplied || late.InFlight {
+		t.Errorf("op after Stop: got outcome %d, in flight %v, want a busy reply and no send", late.Outcome, late.InFlight)
+	}
+	if len(d.table) != sent {
+		t.Errorf("got %d ops in the table, want %d as before", len(d.table), sent)
+	}
 }
 
 func TestCountersAddUpOverAllOutcomes(t *testing.T) {
