What clients and servers send is limited in memory for all connections together

Cause: one message was limited to a 64th of the memory, the sum over connections was not; read buffers doubled. The same held for whole commands (a copy per open op, kept by an idle connection until its next command), the encoded query that a connection to a server kept, and answers that stop in the middle. Change: internal/membudget; a long message, an op and a long answer reserve their memory before they are read and until they end. A command without memory is skipped and answered with 53300, an answer waits unread until its op ends. Connections take a quarter of the memory at most. Short commands have a budget that long ones cannot use up. Stalled long messages are evicted for others. The test of startups split across reads takes the statement's text when the op is submitted, as it is freed at its end now; what it checks is the same.

--- /dev/null
+++ b/cmd/gorsewell/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package main
+
+// raceDetector tells that the race detector is off.
+const raceDetector = false
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -27,6 +27,7 @@
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/gossip/carrier"
 	"gorsewell/internal/gossip/keys"
+	"gorsewell/internal/membudget"
 	"gorsewell/internal/serverside"
 )
 
@@ -166,6 +167,28 @@
 // memory, as values may be longer than the protocol's description says.
 const messageMemoryDivisor = 64
 
+// nonHeapBytes is the memory of the process that the garbage collector does not manage, mostly the pages of the program
+// itself.
+const nonHeapBytes = 10 << 20
+
+// heapLimit returns the limit for the heap of a process that may use the given number of bytes.
+func heapLimit(memory int64) int64 { return max(memory/2, min(memory*3/4, memory-nonHeapBytes)) }
+
+// Connections take a quarter of the memory at most. Each occupies connectionBytes besides long messages and ops: its
+// buffers and the stacks of its goroutines.
+const (
+	connectionMemoryDivisor = 4
+	connectionBytes         = 16 << 10
+)
+
+// maxDescriptors returns how many descriptors a process may use that has the given number of them and of bytes.
+func maxDescriptors(sockets int, memory int64) int {
+	if memory <= 0 {
+		memory = membudget.UnknownMemory
+	}
+	return min(sockets, reservedDescriptors+int(memory/connectionMemoryDivisor/connectionBytes))
+}
+
 // reservedDescriptors is the number of descriptors kept for the standard streams, the listener, discovery, the runtime
 // and clients whose connections are being refused.
 const reservedDescriptors = 32
@@ -188,10 +211,11 @@
 	if err != nil {
 		return err
 	}
-	deployed.MaxMessageBytes = int(platform.Limits.MemoryMB) << 20 / messageMemoryDivisor
+	deployed.MemoryBytes = platform.Limits.MemoryMB << 20
+	deployed.MaxMessageBytes = int(deployed.MemoryBytes / messageMemoryDivisor)
 	runtime.GOMAXPROCS(max(1, int(platform.Limits.Cores)))
 	if platform.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(platform.Limits.MemoryMB << 20 * 3 / 4)
+		debug.SetMemoryLimit(heapLimit(deployed.MemoryBytes))
 		debug.SetGCPercent(400)
 	}
 	sockets := platform.Limits.Sockets
@@ -201,6 +225,7 @@
 	if settings.Gossip.Enabled {
 		sockets -= settings.Gossip.Limits.Streams + gossipDescriptors
 	}
+	sockets = maxDescriptors(sockets, deployed.MemoryBytes)
 	serverConns := (sockets - reservedDescriptors) / 3
 	if serverConns < minServerConns {
 		return fmt.Errorf("limits.sockets: %d leaves only %d descriptors for servers and clients",
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -21,6 +21,7 @@
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
 	"gorsewell/internal/exchange"
+	"gorsewell/internal/membudget"
 	"gorsewell/internal/pgwire"
 )
 
@@ -72,6 +73,9 @@
 	// opTypes maps the name of each op type to its index.
 	opTypes map[string]uint8
 
+	// budgets limits the memory of what clients have sent.
+	budgets inputBudgets
+
 	// maxConns is the maximum number of connections that stay open. Up to overflowConns more are accepted.
 	maxConns int64
 
@@ -81,7 +85,7 @@
 	// finalReads is true in the last phase of a planned stop.
 	finalReads atomic.Bool
 
-	// mu guards conns and openIDs.
+	// mu guards conns and openIDs, and the reserved memory of connections.
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 
@@ -96,8 +100,8 @@
 func New(clock exchange.Clock, dispatcher exchange.Dispatcher, counts *counters.Set, settings *deployment.Settings,
 	maxConns int) *Acceptor {
 	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, settings: settings, opTypes: map[string]uint8{},
-		maxConns: int64(maxConns), conns: map[*conn]struct{}{}, connClosed: make(chan struct{}, 1),
-		openIDs: map[string]struct{}{}}
+		budgets: newInputBudgets(settings.MemoryBytes), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
+		connClosed: make(chan struct{}, 1), openIDs: map[string]struct{}{}}
 	for i, name := range settings.OpTypeNames {
 		a.opTypes[name] = uint8(i)
 	}
@@ -255,18 +259,28 @@
 	if remaining <= a.maxConns {
 		return true
 	}
-	slices.SortFunc(evictable, func(first, second *conn) int {
-		return cmp.Compare(first.lastActivity.Load(), second.lastActivity.Load())
-	})
+	sortByActivity(evictable)
 	for _, c := range evictable[:min(int64(len(evictable)), remaining-a.maxConns)] {
 		remaining--
-		a.counts.ClientIdleClosed.Add(1)
-		c.evicting.Store(true)
-		c.net.SetReadDeadline(exchange.Past)
+		a.evict(c)
 	}
 	return remaining <= a.maxConns
 }
 
+// sortByActivity sorts connections by the time of their last activity, the earliest first.
+func sortByActivity(conns []*conn) {
+	slices.SortFunc(conns, func(first, second *conn) int {
+		return cmp.Compare(first.lastActivity.Load(), second.lastActivity.Load())
+	})
+}
+
+// evict makes a connection close unless a command arrives at that moment. The caller holds the mutex.
+func (a *Acceptor) evict(c *conn) {
+	a.counts.ClientIdleClosed.Add(1)
+	c.evicting.Store(true)
+	c.net.SetReadDeadline(exchange.Past)
+}
+
 // awaitSessionCapacity waits briefly until there is capacity for the connection's session: connections that were
 // accepted just before may turn out to be evictable.
 func (a *Acceptor) awaitSessionCapacity(c *conn) bool {
@@ -307,6 +321,9 @@
 	// replies holds the replies in the order of their commands.
 	replies chan reply
 
+	// inputMemory is reserved for the long message that is being read. The acceptor's mutex is held while it is set.
+	inputMemory membudget.Reservation
+
 	// openOps holds the ops of the connection that have not ended. Ended ones are removed when an op is added.
 	openOps []*exchange.Exchange
 
@@ -354,6 +371,8 @@
 	var group errgroup.Group
 	group.Go(c.writeReplies)
 	reason := c.read()
+	c.readBuffer = pgwire.ReadBuffer{} // what it holds is not processed any more
+	c.releaseInput()
 	if reason != errClientGone {
 		reason = c.awaitReplies(reason)
 	}
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -58,6 +58,10 @@
 			}
 		}
 		c.lastActivity.Store(int64(c.acceptor.clock.Now()))
+		if r.op != nil {
+			c.acceptor.releaseOp(r.op)
+			r = reply{answersCommand: r.answersCommand}
+		}
 		if r.answersCommand {
 			c.pendingCommands.Add(-1)
 			c.resumeReading()
@@ -75,7 +79,7 @@
 func finalReply(op *exchange.Exchange) []byte {
 	switch op.Outcome {
 	case exchange.Acked:
-		return pgwire.AppendReady(op.Answer)
+		return pgwire.AppendReady(op.Answer.Bytes)
 	case exchange.BusyReplied:
 		retryAfter := ""
 		if op.RetryAfter > 0 {
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -76,6 +76,7 @@
 func finish(op *exchange.Exchange, outcome exchange.Outcome) {
 	op.Outcome = outcome
 	close(op.Done)
+	op.Release()
 }
 
 // opID returns the client's id for the op.
@@ -83,7 +84,7 @@
 
 func ack(op *exchange.Exchange) {
 	row := standin.Row("v"+opID(op), "primary", 1)
-	op.Answer = row[:len(row)-6] // without ReadyForQuery, which the acceptor adds
+	op.Answer.Bytes = row[:len(row)-6] // without ReadyForQuery, which the acceptor adds
 	finish(op, exchange.Acked)
 }
 
@@ -131,7 +132,11 @@
 
 func TestStartupAndQuerySplitAcrossReads(t *testing.T) {
 	t.Parallel()
-	_, d, addr, _ := startAcceptor(t, 8, ack)
+	texts := make(chan string, 3)
+	_, d, addr, _ := startAcceptor(t, 8, func(op *exchange.Exchange) {
+		texts <- string(op.Statement.(*pgwire.Statement).Text)
+		ack(op)
+	})
 	input := pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), lookupQuery)
 	for _, step := range []int{1, 9, len(input)} {
 		c, err := standin.DialTCP(addr)
@@ -147,7 +152,7 @@
 		expect(t, c, "")
 		expect(t, c, "v1")
 	}
-	if op := d.submitted[0]; string(op.Statement.(*pgwire.Statement).Text) != lookupQuery || op.OpType != 0 || op.Group != 3 || op.IsRetry ||
+	if op := d.submitted[0]; <-texts != lookupQuery || op.OpType != 0 || op.Group != 3 || op.IsRetry ||
 		op.MinPosition != choice.LongPast {
 		t.Errorf("got op %+v", op)
 	}
@@ -766,7 +771,7 @@
 	t.Parallel()
 	longValue := strings.Repeat("x", 1<<20)
 	a, _, addr, _ := startAcceptor(t, 8, func(op *exchange.Exchange) {
-		op.Answer = pgwire.AppendMessage(nil, pgwire.DataRow, longValue)
+		op.Answer.Bytes = pgwire.AppendMessage(nil, pgwire.DataRow, longValue)
 		finish(op, exchange.Acked)
 	})
 	stuck, other := dial(t, addr), dial(t, addr)
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -9,6 +9,7 @@
 
 	"gorsewell/choice"
 	"gorsewell/internal/exchange"
+	"gorsewell/internal/membudget"
 	"gorsewell/internal/pgwire"
 )
 
@@ -39,6 +40,9 @@
 		}
 		m, err := c.readMessage()
 		switch {
+		case err == errNoMemory:
+			c.rejectBusy()
+			continue
 		case err != nil:
 			return c.reject(err)
 		case m.Type == pgwire.Terminate:
@@ -49,6 +53,7 @@
 		if err := c.handleQuery(m.Body); err != nil {
 			return c.reject(err)
 		}
+		c.releaseInput()
 	}
 }
 
@@ -110,6 +115,8 @@
 		}
 		c.readBuffer.Discard(size)
 		switch {
+		case size == 0 && !c.ensureSpace(pgwire.StartupSize(c.readBuffer.Bytes())):
+			return c.rejectConnection()
 		case size == 0:
 			if err := c.fill(); err != nil {
 				return err
@@ -120,43 +127,68 @@
 		case kind == pgwire.StartupCancel:
 			return errRejected
 		case !c.acceptor.awaitSessionCapacity(c):
-			c.acceptor.counts.ClientRefused.Add(1)
-			c.enqueueBytes(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
-			return errRejected
+			return c.rejectConnection()
 		default:
+			c.releaseInput()
 			c.enqueueBytes(pgwire.AppendStartupReply(nil))
 			return nil
 		}
 	}
 }
 
+// rejectConnection tells a client that there is no room for its connection and returns errRejected.
+func (c *conn) rejectConnection() error {
+	c.acceptor.counts.ClientRefused.Add(1)
+	c.enqueueBytes(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
+	return errRejected
+}
+
 // readMessage reads one message, which stays valid until the next call. The rest of an incomplete message has to arrive
 // within readTimeout.
 func (c *conn) readMessage() (pgwire.Message, error) {
 	for {
 		m, ok, err := c.readBuffer.Next()
-		if ok && !c.inputDeadline.IsZero() {
-			c.inputDeadline = time.Time{}
-			c.setReadDeadline(c.inputDeadline)
+		if ok {
+			c.endInputTime()
 		}
 		if ok || err != nil {
 			return m, err
 		}
-		if c.inputDeadline.IsZero() && len(c.readBuffer.Bytes()) > 0 {
+		if c.inputDeadline.IsZero() && c.messageBegun() {
 			c.limitInputTime()
 		}
-		if err := c.fill(); err != nil {
+		size := pgwire.MessageSize(c.readBuffer.Bytes())
+		switch {
+		case c.readBuffer.Holds(size):
+			err = c.fill()
+		case c.readBuffer.Bytes()[0] != pgwire.Query: // no other command can be long
+			err = pgwire.ErrMalformed
+		case !c.ensureSpace(size):
+			err = c.skipMessage(size)
+		}
+		if err != nil {
 			return m, err
 		}
 	}
 }
 
+// messageBegun reports whether the beginning of an incomplete message has been read.
+func (c *conn) messageBegun() bool { return len(c.readBuffer.Bytes()) > 0 || c.readBuffer.Skipping() }
+
 // limitInputTime starts the time in which the next message has to be complete.
 func (c *conn) limitInputTime() {
 	c.inputDeadline = time.Now().Add(readTimeout)
 	c.setReadDeadline(c.inputDeadline)
 }
 
+// endInputTime ends that time, as the message is complete.
+func (c *conn) endInputTime() {
+	if !c.inputDeadline.IsZero() {
+		c.inputDeadline = time.Time{}
+		c.setReadDeadline(c.inputDeadline)
+	}
+}
+
 // inputOverdue reports whether the time is over in which a message had to be complete.
 func (c *conn) inputOverdue() bool {
 	return !c.inputDeadline.IsZero() && !time.Now().Before(c.inputDeadline)
@@ -262,33 +294,54 @@
 		c.enqueueCommandReply(pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQueryResponse)))
 		return nil
 	}
-	s, err := pgwire.ParseStatement(bytes.Clone(text)) // outlives the read buffer, as the op may be sent to a server again
+	owned, memory, ok := c.takeMemory(text)
+	if !ok {
+		return c.rejectBusy()
+	}
+	submitted, err := c.submit(owned, memory)
+	if !submitted {
+		memory.Release()
+	}
+	return err
+}
+
+// submit parses a statement and submits its op, which then owns the statement and the memory reserved for it.
+func (c *conn) submit(text []byte, memory membudget.Reservation) (submitted bool, err error) {
+	s, err := pgwire.ParseStatement(text)
 	opType, known := c.acceptor.opTypes[string(s.OpType)]
 	switch {
 	case err != nil:
-		return c.rejectQuery("42601", "no usable comment")
+		return false, c.rejectQuery("42601", "no usable comment")
 	case !known:
-		return c.rejectQuery("22023", "unknown op type")
+		return false, c.rejectQuery("22023", "unknown op type")
 	case !c.acceptor.claimID(string(s.ID)):
-		return c.rejectQuery("42710", "an op of this id is open")
+		return false, c.rejectQuery("42710", "an op of this id is open")
 	}
 	// A command may have waited for long, in the listener's queue or while the process was suspended, and its client
 	// may have disconnected in the meantime.
 	if c.clientClosed() {
 		c.acceptor.releaseID(string(s.ID))
-		return errClientGone
+		return false, errClientGone
 	}
 	c.sentCommand.Store(true)
 	now := c.acceptor.clock.Now()
 	op := &exchange.Exchange{Statement: s, OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
 		Deadline: now + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
-		Target:   c.acceptor.settings.OpTypes[opType].Target, MinPosition: choice.LongPast, Done: make(chan struct{})}
+		Target:   c.acceptor.settings.OpTypes[opType].Target, MinPosition: choice.LongPast, Memory: memory,
+		Done: make(chan struct{})}
 	if position, ok := c.acceptor.clock.FromUnix(s.After); ok {
 		op.MinPosition = position
 	}
 	c.openOps = append(slices.DeleteFunc(c.openOps, (*exchange.Exchange).IsDone), op)
 	c.acceptor.dispatcher.Submit(op)
 	c.enqueue(reply{op: op, opID: string(s.ID), answersCommand: true})
+	return true, nil
+}
+
+// rejectBusy replies to a command for which there is no memory. The connection stays open.
+func (c *conn) rejectBusy() error {
+	c.acceptor.counts.CommandsSkipped.Add(1)
+	c.enqueueCommandReply(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "53300", errNoMemory.Error(), "")))
 	return nil
 }
 
--- a/internal/clientside/stop.go
+++ b/internal/clientside/stop.go
@@ -84,7 +84,7 @@
 // A connection waits only once between two messages, however busy it is.
 func (c *conn) closeGraceEnd() time.Time {
 	now := time.Now()
-	if len(c.readBuffer.Bytes()) > 0 {
+	if c.messageBegun() {
 		return now.Add(closeGrace)
 	}
 	if c.idleGraceEnd.IsZero() {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -50,6 +50,8 @@
 	Malformed        atomic.Int64                    // client connections closed because their data could not be parsed
 	Unusable         atomic.Int64                    // queries without a usable comment, of unknown op type, or too long
 	MalformedAnswers atomic.Int64                    // server messages that could not be parsed or were not expected
+	CommandsSkipped  atomic.Int64                    // commands of clients for which there was no memory
+	AnswersDelayed   atomic.Int64                    // long server messages that had to wait for memory
 	Lists            atomic.Int64                    // calls of discovery that succeeded
 	ListsFailed      atomic.Int64                    // calls of discovery that failed
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -205,9 +205,11 @@
 
 // removeIfDone removes an exchange from the table once its op has ended and no send is in flight.
 func (d *Dispatch) removeIfDone(x *exchange.Exchange) {
-	if x.Outcome != exchange.Pending && !x.InFlight {
-		delete(d.table, x.ID)
+	if e := d.table[x.ID]; e == nil || e.Exchange != x || x.Outcome == exchange.Pending || x.InFlight {
+		return
 	}
+	delete(d.table, x.ID)
+	x.Release()
 }
 
 // SendEnded handles the result of a send; it is called exactly once for each send. An ack ends the op if it is pending.
@@ -223,6 +225,8 @@
 	if result.Result == choice.Acked && x.Outcome == exchange.Pending {
 		x.Answer = result.Answer
 		d.finish(x, exchange.Acked)
+	} else {
+		result.Answer.Release()
 	}
 	d.removeIfDone(x)
 	d.report(now, server, result.Report)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -78,9 +78,9 @@
 	if len(s.sent) != 2 || s.sent[0].server != replica || s.sent[1].server != primary || s.sent[0].beginBy < read.Deadline || l.watched != 1 {
 		t.Fatalf("got calls %+v and %+v, want the read sent to the replica, the write to the primary, and one watch", s, l)
 	}
-	d.SendEnded(read, 0, replica, exchange.AttemptResult{Result: choice.Acked, Position: choice.LongPast, Answer: []byte("row")})
+	d.SendEnded(read, 0, replica, exchange.AttemptResult{Result: choice.Acked, Position: choice.LongPast, Answer: exchange.Answer{Bytes: []byte("row")}})
 	<-read.Done
-	if read.Outcome != exchange.Acked || string(read.Answer) != "row" || write.IsDone() {
+	if read.Outcome != exchange.Acked || string(read.Answer.Bytes) != "row" || write.IsDone() {
 		t.Errorf("got read %+v and write %+v, want an acked read with its answer and a pending write", read, write)
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,9 +3,11 @@
 package exchange
 
 import (
+	"sync/atomic"
 	"time"
 
 	"gorsewell/choice"
+	"gorsewell/internal/membudget"
 )
 
 // Outcome is how an op ended.
@@ -38,14 +40,43 @@
 	Target      time.Duration // the latency target of the op type
 	MinPosition time.Duration // the position that a session read has to see, or choice.LongPast
 
+	// Memory is reserved for the statement, its copies and the rest of the op.
+	Memory membudget.Reservation
+
+	// releases counts the calls of Release.
+	releases atomic.Int32
+
 	Done       chan struct{} // closed when the op has ended
 	ID         uint32
 	Outcome    Outcome
 	RetryAfter time.Duration // after which a client that got a busy reply should retry; 0 if not stated
-	Answer     []byte        // the server's messages up to ReadyForQuery, if the op was acked
+	Answer     Answer        // the server's messages up to ReadyForQuery, if the op was acked
 	InFlight   bool          // whether a send is in flight
 }
 
+// Release frees the statement at its second call. The client side calls it once when the op's reply is written or will
+// never be, the Dispatcher once when the op has ended and no send uses the statement any more.
+func (x *Exchange) Release() {
+	if x.releases.Add(1) == 2 {
+		x.Statement = nil
+		x.Memory.Release()
+	}
+}
+
+// Answer is the response of a server up to ReadyForQuery.
+type Answer struct {
+	Bytes []byte
+
+	// Memory is reserved for a long answer.
+	Memory membudget.Reservation
+}
+
+// Release frees the answer.
+func (a *Answer) Release() {
+	a.Bytes = nil
+	a.Memory.Release()
+}
+
 // IsDone reports whether the op has ended.
 func (x *Exchange) IsDone() bool {
 	select {
@@ -62,7 +93,7 @@
 	Took     time.Duration
 	Role     choice.Role
 	Position time.Duration // the server's position in the log, or choice.LongPast if it stated none
-	Answer   []byte        // the server's messages up to ReadyForQuery
+	Answer   Answer        // the server's messages up to ReadyForQuery
 	Report   *Report       // nil if the server sent none
 }
 
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -80,6 +80,22 @@
 	return Message{b[0], b[5 : n+1]}, int(n) + 1, nil
 }
 
+// MessageSize returns the size in bytes that the first message in b declares, or 0 if that has not been read.
+func MessageSize(b []byte) int {
+	if len(b) < 5 {
+		return 0
+	}
+	return int(be.Uint32(b[1:])) + 1
+}
+
+// StartupSize is like MessageSize for the first packet of a client.
+func StartupSize(b []byte) int {
+	if len(b) < 4 {
+		return 0
+	}
+	return int(be.Uint32(b))
+}
+
 // StartupKind is the kind of the first packet of a client.
 type StartupKind uint8
 
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 const insertStatement = `INSERT INTO facts (code, data) VALUES ('7f3a9c21', '\x9f03') RETURNING data ` +
@@ -239,3 +242,61 @@
 		}
 	})
 }
+
+// A reader that grows for a long message, or skips it, gets the same other messages in the same order, however the bytes
+// are cut, and never a buffer larger than the message needs.
+func TestLongMessagesAreReadOrSkipped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(5, 20_000), 1, 8).Draw(t, "sizes")
+		var stream []byte
+		for i, size := range sizes {
+			stream = AppendMessage(stream, byte('a'+i), strings.Repeat("x", size-5))
+		}
+		var buffer ReadBuffer
+		var got []byte
+		skipped := map[byte]bool{}
+		for len(stream) > 0 {
+			space := buffer.Space()
+			n := copy(space, stream[:min(len(stream), rapid.IntRange(1, 9000).Draw(t, "n"))])
+			stream = stream[n:]
+			buffer.Filled(n)
+			for {
+				m, ok, err := buffer.Next()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !ok {
+					break
+				}
+				if len(m.Body)+5 != sizes[m.Type-'a'] {
+					t.Fatalf("message %c has %d bytes, want %d", m.Type, len(m.Body)+5, sizes[m.Type-'a'])
+				}
+				got = append(got, m.Type)
+				buffer.Shrink()
+			}
+			if size := MessageSize(buffer.Bytes()); !buffer.Holds(size) {
+				if name := buffer.Bytes()[0]; rapid.Bool().Draw(t, "skip") {
+					skipped[name] = true
+					buffer.Skip(size)
+				} else {
+					buffer.Grow(size)
+				}
+			}
+			if len(buffer.buf) > max(bufferSize, slices.Max(sizes)+minSpace) {
+				t.Fatalf("the buffer has %d bytes", len(buffer.buf))
+			}
+		}
+		if buffer.Skipping() || len(buffer.Bytes()) > 0 {
+			t.Fatalf("%d bytes are left", len(buffer.Bytes()))
+		}
+		for i := range sizes {
+			name := byte('a' + i)
+			if skipped[name] == slices.Contains(got, name) {
+				t.Errorf("message %c: skipped %v, got %q", name, skipped[name], got)
+			}
+		}
+		if !slices.IsSorted(got) {
+			t.Errorf("got messages %q, want them in order", got)
+		}
+	})
+}
--- a/internal/pgwire/window.go
+++ b/internal/pgwire/window.go
@@ -13,6 +13,9 @@
 
 	// end is the offset in buf after the last unread byte.
 	end int
+
+	// skip is how many of the next bytes are to be discarded.
+	skip int
 }
 
 const (
@@ -23,7 +26,8 @@
 	minSpace = 512
 )
 
-// Space returns free space to read into.
+// Space returns free space to read into. A buffer that is full grows. Readers that limit their memory ask Holds before
+// and call Grow or Skip, so that it never does.
 func (b *ReadBuffer) Space() []byte {
 	if b.start == b.end {
 		b.start, b.end = 0, 0
@@ -41,8 +45,52 @@
 	return b.buf[b.end:]
 }
 
+// Holds reports whether a message of the given size at the front can be read without more memory.
+func (b *ReadBuffer) Holds(size int) bool { return size <= max(bufferSize, len(b.buf))-minSpace }
+
+// Grow makes room for a message of the given size at the front.
+func (b *ReadBuffer) Grow(size int) {
+	grown := make([]byte, size+minSpace)
+	b.start, b.end, b.buf = 0, copy(grown, b.Bytes()), grown
+}
+
+// Shrink frees the memory of a buffer that has grown if the unread bytes fit into one of usual size, as they do after the
+// message for which it has grown. Messages read before stay valid.
+func (b *ReadBuffer) Shrink() {
+	if len(b.buf) <= bufferSize {
+		return
+	}
+	unread := b.Bytes()
+	if len(unread) > bufferSize-minSpace {
+		return
+	}
+	b.start, b.end, b.buf = 0, 0, nil
+	if len(unread) > 0 {
+		b.end = copy(b.Space(), unread)
+	}
+}
+
+// Skip discards the next n bytes, those that have not been read yet included.
+func (b *ReadBuffer) Skip(n int) {
+	b.skip = n
+	b.discardSkipped()
+}
+
+// Skipping reports whether bytes are still to be skipped.
+func (b *ReadBuffer) Skipping() bool { return b.skip > 0 }
+
+// discardSkipped discards those bytes to be skipped that have been read.
+func (b *ReadBuffer) discardSkipped() {
+	n := min(b.skip, b.end-b.start)
+	b.start += n
+	b.skip -= n
+}
+
 // Filled records that n bytes were read into the free space.
-func (b *ReadBuffer) Filled(n int) { b.end += n }
+func (b *ReadBuffer) Filled(n int) {
+	b.end += n
+	b.discardSkipped()
+}
 
 // Bytes returns the bytes that were read and not yet removed.
 func (b *ReadBuffer) Bytes() []byte { return b.buf[b.start:b.end] }
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -10,6 +10,7 @@
 
 	"gorsewell/choice"
 	"gorsewell/internal/exchange"
+	"gorsewell/internal/membudget"
 	"gorsewell/internal/pgwire"
 )
 
@@ -31,6 +32,9 @@
 	net        net.Conn
 	readBuffer pgwire.ReadBuffer
 
+	// answerMemory is reserved for a long message of the current response.
+	answerMemory membudget.Reservation
+
 	// query is the encoded query that is being written.
 	query []byte
 
@@ -57,6 +61,7 @@
 		readBuffer: pgwire.ReadBuffer{MaxMessage: p.settings.MaxMessageBytes}}
 	deadline, _ := ctx.Deadline()
 	netConn.SetDeadline(deadline)
+	defer c.answerMemory.Release()
 	if !p.attach(j, c) || !c.startup() {
 		p.connectFailed(j)
 		return
@@ -102,7 +107,7 @@
 		return false
 	}
 	for bytesRead := 0; ; {
-		m, err := c.readMessage()
+		m, err := c.readMessage(nil)
 		switch {
 		case err != nil || m.Type == pgwire.ErrorResponse:
 			return false
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -17,6 +17,7 @@
 	"gorsewell/internal/deployment"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/invariant"
+	"gorsewell/internal/membudget"
 )
 
 // Pool holds the connections to all servers. A connection executes one job at a time and has its own goroutine, which
@@ -28,6 +29,9 @@
 	settings *deployment.Settings
 	maxConns int
 
+	// answers limits the memory of long messages from servers.
+	answers *membudget.Budget
+
 	// quietPeriod is the constant of this name, except in tests.
 	quietPeriod time.Duration
 
@@ -84,14 +88,17 @@
 
 	// cancelConnect cancels the opening of a connection. It is guarded by the pool's mutex.
 	cancelConnect context.CancelFunc
+
+	// cancelWait cancels the wait for memory, if there is one. It is guarded by the pool's mutex.
+	cancelWait context.CancelFunc
 }
 
 // New returns a pool of at most maxConns connections. The caller has to call Wait at the end.
 func New(ctx context.Context, clock exchange.Clock, events exchange.Events, counts *counters.Set,
 	settings *deployment.Settings, maxConns int) *Pool {
 	group, ctx := errgroup.WithContext(ctx)
-	return &Pool{clock: clock, events: events, counts: counts, settings: settings, maxConns: maxConns, quietPeriod: quietPeriod,
-		ctx: ctx, group: group, addrs: map[uint32]string{}, idle: map[uint32][]*conn{},
+	return &Pool{clock: clock, events: events, counts: counts, settings: settings, maxConns: maxConns,
+		answers: newAnswerBudget(settings.MemoryBytes), quietPeriod: quietPeriod, ctx: ctx, group: group, addrs: map[uint32]string{}, idle: map[uint32][]*conn{},
 		sends: map[*exchange.Exchange]*job{}, probes: map[uint32]*job{}}
 }
 
@@ -250,6 +257,9 @@
 // cancel ends the I/O of the job. The caller holds the mutex.
 func (p *Pool) cancel(j *job) {
 	j.cancelled = true
+	if j.cancelWait != nil {
+		j.cancelWait()
+	}
 	if j.conn != nil {
 		j.conn.net.SetDeadline(exchange.Past)
 	} else {
--- a/internal/serverside/receive.go
+++ b/internal/serverside/receive.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,8 +15,8 @@
 	"gorsewell/internal/pgwire"
 )
 
-// readMessage reads one message, which stays valid until the next call.
-func (c *conn) readMessage() (pgwire.Message, error) {
+// readMessage reads one message, which stays valid until the next call. The job is nil while the connection starts.
+func (c *conn) readMessage(j *job) (pgwire.Message, error) {
 	for {
 		m, ok, err := c.readBuffer.NextServerMessage()
 		if ok || err != nil {
@@ -24,6 +25,9 @@
 			}
 			return m, err
 		}
+		if err := c.ensureSpace(j, pgwire.MessageSize(c.readBuffer.Bytes())); err != nil {
+			return m, err
+		}
 		n, err := c.net.Read(c.readBuffer.Space())
 		c.readBuffer.Filled(n)
 		if n == 0 && err != nil {
@@ -46,6 +50,9 @@
 	bytesRead int
 }
 
+// shortMessagesBytes is the room for the messages behind a row: CommandComplete and ReadyForQuery.
+const shortMessagesBytes = 160
+
 var errReady = errors.New("server is ready for the next query")
 
 // receive reads the response to a query that was written completely, up to ReadyForQuery. The server's role and position
@@ -55,7 +62,7 @@
 	var err error
 	for err == nil {
 		var m pgwire.Message
-		if m, err = c.readMessage(); err == nil {
+		if m, err = c.readMessage(j); err == nil {
 			err = c.processMessage(j, m, &a)
 		}
 	}
@@ -83,7 +90,7 @@
 			return c.malformed()
 		}
 		if j.op != nil {
-			a.Answer = pgwire.AppendRaw(a.Answer, m)
+			a.appendMessage(m)
 		} else if m.Type == pgwire.DataRow {
 			a.Report = c.parseReport(string(value))
 		}
@@ -111,6 +118,15 @@
 	return nil
 }
 
+// appendMessage appends a message to the answer. A row leaves room for the short messages that follow it, so that a long
+// one is not copied again.
+func (a *answer) appendMessage(m pgwire.Message) {
+	if m.Type == pgwire.DataRow {
+		a.Answer.Bytes = slices.Grow(a.Answer.Bytes, len(m.Body)+shortMessagesBytes)
+	}
+	a.Answer.Bytes = pgwire.AppendRaw(a.Answer.Bytes, m)
+}
+
 // parseValueMessage parses a message of a response that returns one value: a RowDescription of one column, one DataRow,
 // then CommandComplete. It returns the value of a DataRow, and whether the message is valid after one of type lastType.
 func parseValueMessage(m pgwire.Message, lastType byte) (value []byte, valid bool) {
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -24,9 +24,13 @@
 	if j.op != nil {
 		p.counts.Sent.Add(1)
 	}
+	if cap(c.query) > maxIdleQueryBytes {
+		c.query = nil
+	}
 	if result, reusable = c.receive(j); !reusable {
 		p.counts.ServerBroken.Add(1)
 	}
+	c.releaseInput(&result.Answer)
 	return result, reusable
 }
 
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -98,7 +98,7 @@
 		r := ended.wait(t)
 		response := standin.Row("value", "replica", at)
 		row, _, _ := strings.Cut(string(response), "S\x00\x00\x00\x11role")
-		if r.Result != choice.Acked || r.Role != choice.Replica || string(r.Answer) != row {
+		if r.Result != choice.Acked || r.Role != choice.Replica || string(r.Answer.Bytes) != row {
 			t.Errorf("got %+v, want result Acked, the role and the row", r)
 		}
 		if ago := before - r.Position; ago < 2*time.Second || ago > 4*time.Second {
@@ -167,8 +167,8 @@
 		p.events = chainedEvents{results: ended, onSendEnd: sync.OnceFunc(func() { p.sendUntil(newOp(t), 1, testServer, p.testDeadline()) })}
 		p.sendUntil(newOp(t), 0, testServer, p.testDeadline())
 		for n := range 2 {
-			if r := ended.wait(t); r.Result != choice.Acked || !bytes.Contains(r.Answer, fmt.Append(nil, "value ", n+1)) {
-				t.Errorf("surplus after %v: got answer %q, %+v, want result Acked and its own value", after, r.Answer, r)
+			if r := ended.wait(t); r.Result != choice.Acked || !bytes.Contains(r.Answer.Bytes, fmt.Append(nil, "value ", n+1)) {
+				t.Errorf("surplus after %v: got answer %q, %+v, want result Acked and its own value", after, r.Answer.Bytes, r)
 			}
 		}
 		if opened := p.counts.ServerConns.Load(); opened != 2 {
@@ -186,8 +186,8 @@
 		p.settings.MaxMessageBytes = longest
 		p.CloseIdle(testServer)
 		p.sendUntil(newOp(t), 0, testServer, p.testDeadline())
-		if r := ended.wait(t); r.Result != want || want == choice.Acked && !strings.Contains(string(r.Answer), value) {
-			t.Errorf("limit %d: got result %d and %d bytes", longest, r.Result, len(r.Answer))
+		if r := ended.wait(t); r.Result != want || want == choice.Acked && !strings.Contains(string(r.Answer.Bytes), value) {
+			t.Errorf("limit %d: got result %d and %d bytes", longest, r.Result, len(r.Answer.Bytes))
 		}
 	}
 }
