Read deadlines are restored after a message that was overdue or an eviction called off

A message that had become overdue while the process stood still, and whose next piece was read, lost its deadline and could stay incomplete for good. A connection whose eviction was called off by a command kept the short deadline of the eviction and was closed 20 to 40 ms later; ConnectionStaysOpenAfterEvictionWasCalledOff fails on the text before: got "$", want v1. Stalled long messages are evicted for all who wait together, once in 10 ms: each waiter walked through all connections. New tests: a message in small pieces is closed when overdue, one that arrived while the process was stopped (SIGSTOP) is read; both also hold on the text before. startAcceptorWith passes limits to an acceptor before it runs.

--- a/cmd/gorsewell/endings_test.go
+++ b/cmd/gorsewell/endings_test.go
@@ -172,3 +172,29 @@
 	}
 	gateways.Wait()
 }
+
+// A gateway that stands still for longer than a message may take must not close the connection over its rest, which has
+// arrived meanwhile.
+func TestMessageThatArrivedWhileProcessStoodStillIsRead(t *testing.T) {
+	cmd, addr, out, _ := startGateway(t, func(role, _ string) ([]byte, bool) {
+		return standin.Row("v", role, time.Now().UnixMilli()), true
+	})
+	c, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	long := strings.Replace(fmt.Sprintf(lookupQuery, 1), "'k'", "'"+strings.Repeat("k", 40<<10)+"'", 1)
+	input := append(pgwire.AppendQuery(nil, long), pgwire.AppendQuery(nil, fmt.Sprintf(lookupQuery, 2))...)
+	c.WriteBytes(input[:20<<10])
+	time.Sleep(50 * time.Millisecond) // the first piece is read
+	cmd.Process.Signal(syscall.SIGSTOP)
+	c.WriteBytes(input[20<<10:])
+	time.Sleep(3 * time.Second)
+	cmd.Process.Signal(syscall.SIGCONT)
+	for range 2 {
+		if got, err := c.ReadAnswer(); err != nil || got != "v" {
+			t.Errorf("got %q, %v, want v; log %s", got, err, out)
+		}
+	}
+}
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -92,8 +92,16 @@
 func startAcceptor(t *testing.T, maxConns int, onSubmit func(*exchange.Exchange)) (a *Acceptor, d *fakeDispatcher,
 	addr string, stop func()) {
 	t.Helper()
+	return startAcceptorWith(t, deployment.Settings{}, maxConns, onSubmit)
+}
+
+// startAcceptorWith is like startAcceptor with the limits on messages and memory of the given settings.
+func startAcceptorWith(t *testing.T, limits deployment.Settings, maxConns int, onSubmit func(*exchange.Exchange)) (a *Acceptor,
+	d *fakeDispatcher, addr string, stop func()) {
+	t.Helper()
 	d = &fakeDispatcher{left: make(chan *exchange.Exchange, 1024), onSubmit: onSubmit}
-	settings := &deployment.Settings{OpTypeNames: []string{"lookup", "save"}, ConnectTimeout: 30 * time.Millisecond}
+	settings := &deployment.Settings{OpTypeNames: []string{"lookup", "save"}, ConnectTimeout: 30 * time.Millisecond,
+		MaxMessageBytes: limits.MaxMessageBytes, MemoryBytes: limits.MemoryBytes}
 	settings.OpTypes = []choice.OpType{{Timeout: time.Second}, {Timeout: time.Second}}
 	a = New(exchange.StartClock(), d, &counters.Set{}, settings, maxConns)
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/internal/clientside/memory.go
+++ b/internal/clientside/memory.go
@@ -43,7 +43,21 @@
 var errNoMemory = errors.New("busy, try again")
 
 // inputBudgets limits the memory of what clients have sent.
-type inputBudgets struct{ ops, long, oversize *membudget.Budget }
+type inputBudgets struct {
+	ops            *membudget.Budget
+	long, oversize *messageBudget
+}
+
+// messageBudget limits the memory of long messages of some sizes. Its fields are guarded by the acceptor's mutex.
+type messageBudget struct {
+	*membudget.Budget
+
+	// waiting is how many bytes are waited for.
+	waiting int64
+
+	// stalledEvictedAt is when stalled connections were last evicted.
+	stalledEvictedAt time.Duration
+}
 
 // newInputBudgets returns the budgets of a process that may use the given number of bytes, 0 if that is not known.
 func newInputBudgets(memory int64) inputBudgets {
@@ -53,13 +67,13 @@
 	atLeast := int64(longMessageCopies * pgwire.DefaultMaxMessage)
 	return inputBudgets{
 		ops:      membudget.New(memory / opMemoryDivisor),
-		long:     membudget.New(max(atLeast, memory/longMessageMemoryDivisor)),
-		oversize: membudget.New(max(atLeast, memory/oversizeMemoryDivisor)),
+		long:     &messageBudget{Budget: membudget.New(max(atLeast, memory/longMessageMemoryDivisor))},
+		oversize: &messageBudget{Budget: membudget.New(max(atLeast, memory/oversizeMemoryDivisor))},
 	}
 }
 
 // forMessage returns the budget for a long message of the given size.
-func (b *inputBudgets) forMessage(size int) *membudget.Budget {
+func (b *inputBudgets) forMessage(size int) *messageBudget {
 	if size > pgwire.DefaultMaxMessage {
 		return b.oversize
 	}
@@ -94,12 +108,14 @@
 
 // awaitMemory waits for memory and returns false if none becomes free in time. Meanwhile it evicts connections whose own
 // messages do not arrive.
-func (a *Acceptor) awaitMemory(budget *membudget.Budget, n int) (memory membudget.Reservation, ok bool) {
+func (a *Acceptor) awaitMemory(budget *messageBudget, n int) (memory membudget.Reservation, ok bool) {
+	a.addWaiting(budget, int64(n))
+	defer a.addWaiting(budget, -int64(n))
 	ctx, cancel := context.WithTimeout(context.Background(), memoryWait)
 	defer cancel()
 	go func() {
 		for ctx.Err() == nil {
-			a.evictStalled(budget, int64(n))
+			a.evictStalled(budget)
 			select {
 			case <-ctx.Done():
 			case <-time.After(firstBytesWait):
@@ -110,6 +126,13 @@
 	return memory, err == nil
 }
 
+// addWaiting changes how many bytes of a budget are waited for.
+func (a *Acceptor) addWaiting(budget *messageBudget, n int64) {
+	a.mu.Lock()
+	budget.waiting += n
+	a.mu.Unlock()
+}
+
 // setInputMemory sets the memory that is reserved for the message that is being read.
 func (c *conn) setInputMemory(memory membudget.Reservation) {
 	c.acceptor.mu.Lock()
@@ -129,20 +152,26 @@
 }
 
 // evictStalled evicts connections that hold memory of the budget for messages of which nothing has arrived for
-// firstBytesWait, those that have been quiet for longest first, until the given number of bytes will be free. So clients
-// that stop within a long message do not keep out those that finish theirs.
-func (a *Acceptor) evictStalled(budget *membudget.Budget, needed int64) {
+// firstBytesWait, those that have been quiet for longest first, until all bytes that are waited for will be free. So
+// clients that stop within a long message do not keep out those that finish theirs. It does so once in firstBytesWait,
+// however many wait.
+func (a *Acceptor) evictStalled(budget *messageBudget) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	if now-budget.stalledEvictedAt < firstBytesWait {
+		return
+	}
+	budget.stalledEvictedAt = now
 	var stalled []*conn
 	for c := range a.conns {
-		if c.inputMemory.Budget() == budget && !c.evicting.Load() && c.pendingReplies.Load() == 0 &&
+		if c.inputMemory.Budget() == budget.Budget && !c.evicting.Load() && c.pendingReplies.Load() == 0 &&
 			now-time.Duration(c.lastActivity.Load()) >= firstBytesWait {
 			stalled = append(stalled, c)
 		}
 	}
 	sortByActivity(stalled)
+	needed := budget.waiting
 	for _, c := range stalled {
 		if needed <= 0 {
 			return
--- a/internal/clientside/memory_test.go
+++ b/internal/clientside/memory_test.go
@@ -10,14 +10,15 @@
 	"testing"
 	"time"
 
+	"gorsewell/internal/deployment"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/membudget"
 	"gorsewell/internal/pgwire"
 	"gorsewell/internal/standin"
 )
 
-// limitMemory makes the budgets of an acceptor that nobody uses yet those of a process with little memory.
-func limitMemory(a *Acceptor, bytes int64) { a.budgets = newInputBudgets(bytes) }
+// littleMemory are the limits of a process with little memory.
+var littleMemory = deployment.Settings{MemoryBytes: 8 << 20}
 
 // longQuery returns a query of the given id with a value of the given length.
 func longQuery(id string, valueBytes int) []byte {
@@ -42,7 +43,8 @@
 // expectFree waits until nothing of the budgets is reserved.
 func expectFree(t *testing.T, a *Acceptor) {
 	t.Helper()
-	for name, budget := range map[string]*membudget.Budget{"ops": a.budgets.ops, "long": a.budgets.long, "oversize": a.budgets.oversize} {
+	for name, budget := range map[string]*membudget.Budget{"ops": a.budgets.ops, "long": a.budgets.long.Budget,
+		"oversize": a.budgets.oversize.Budget} {
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
 		all, err := budget.Reserve(ctx, int(budget.Limit()))
@@ -57,9 +59,8 @@
 // nothing limited the sum. It is not parallel to other tests, as it measures the heap.
 func TestIncompleteMessagesOfAllConnectionsAreLimited(t *testing.T) {
 	const clients, memory = 200, 8 << 20
-	a, _, addr, stop := startAcceptor(t, 2*clients, ack)
-	limitMemory(a, memory)
-	a.settings.MaxMessageBytes = 4 << 20
+	limits := deployment.Settings{MemoryBytes: memory, MaxMessageBytes: 4 << 20}
+	a, _, addr, stop := startAcceptorWith(t, limits, 2*clients, ack)
 	halves := make([][]byte, clients)
 	for i := range halves {
 		whole := longQuery("x", []int{60 << 10, 150 << 10, 1 << 20}[i%3])
@@ -106,8 +107,7 @@
 // A command for which there is no memory is skipped, not stored; it and those behind it get one reply each, in order.
 func TestCommandWithoutMemoryIsSkippedAndRefused(t *testing.T) {
 	t.Parallel()
-	a, d, addr, _ := startAcceptor(t, 8, ack)
-	limitMemory(a, 8<<20)
+	a, d, addr, _ := startAcceptorWith(t, littleMemory, 8, ack)
 	all, ok := a.budgets.long.TryReserve(int(a.budgets.long.Limit()))
 	if !ok {
 		t.Fatal("the budget is not free")
@@ -136,11 +136,11 @@
 	t.Parallel()
 	const ops = 20
 	release := make(chan struct{})
-	a, d, addr, _ := startAcceptor(t, 8, func(op *exchange.Exchange) {
+	limits := deployment.Settings{MemoryBytes: opMemoryDivisor * ops * (opOverhead + 100)} // a statement has less than 100 bytes
+	a, d, addr, _ := startAcceptorWith(t, limits, 8, func(op *exchange.Exchange) {
 		<-release
 		ack(op)
 	})
-	limitMemory(a, opMemoryDivisor*ops*(opOverhead+100)) // a statement has less than 100 bytes
 	first, second := dial(t, addr), dial(t, addr)
 	first.WriteBytes(numberedQueries(maxPendingCommands))
 	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == maxPendingCommands })
@@ -204,8 +204,7 @@
 // A startup packet is limited like any other message.
 func TestStartupPacketsOfAllConnectionsAreLimited(t *testing.T) {
 	t.Parallel()
-	a, _, addr, _ := startAcceptor(t, 8, ack)
-	limitMemory(a, 8<<20)
+	a, _, addr, _ := startAcceptorWith(t, littleMemory, 8, ack)
 	startup := pgwire.AppendStartup(nil, strings.Repeat("u", 8000), "crm")
 	c, err := standin.DialTCP(addr)
 	if err != nil {
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -196,19 +196,18 @@
 
 // fill reads more bytes. A read that times out is a sign that the connection has to be closed, by eviction, because of
 // the read timeout or during a planned stop. Then fill returns errClosing if no reply is pending and no command arrives
-// within a short grace period. If replies are pending it goes on reading. A message that is overdue ends the connection
-// once all that has arrived is read: the process may have stood still while the rest of the message arrived.
+// within a short grace period. If replies are pending it goes on reading.
 func (c *conn) fill() error {
 	for graceUsed := false; !c.acceptor.stopping.Load(); {
 		_, err := c.readOnce(c.readBuffer.Space())
 		switch {
+		case err == nil && graceUsed:
+			c.setReadDeadline(c.inputDeadline)
+			return nil
 		case err == nil || !errors.Is(err, os.ErrDeadlineExceeded):
 			return err
 		case c.inputOverdue():
-			if !c.hasUnreadInput() {
-				return errClosing
-			}
-			c.net.SetReadDeadline(time.Time{}) // the read will not wait
+			return c.fillOverdue()
 		case c.pendingReplies.Load() > 0:
 			graceUsed = false
 			c.evicting.Store(false)
@@ -227,6 +226,21 @@
 	return c.fillDuringStop()
 }
 
+// fillOverdue reads more bytes of a message that is overdue. What has arrived is read first, as the process may have
+// stood still meanwhile. When nothing is left the connection has to be closed.
+func (c *conn) fillOverdue() error {
+	if !c.hasUnreadInput() {
+		return errClosing
+	}
+	c.net.SetReadDeadline(time.Time{}) // the read will not wait
+	_, err := c.readOnce(c.readBuffer.Space())
+	c.setReadDeadline(c.inputDeadline)
+	if errors.Is(err, os.ErrDeadlineExceeded) { // the connection was evicted just now
+		return nil
+	}
+	return err
+}
+
 // readOnce reads n bytes into the given free space of the read buffer. It returns errClientGone for any error but a
 // timeout.
 func (c *conn) readOnce(space []byte) (n int, err error) {
--- a/internal/clientside/stop_test.go
+++ b/internal/clientside/stop_test.go
@@ -146,6 +146,48 @@
 	}
 }
 
+// A client that sends a byte now and then does not keep an overdue message open.
+func TestMessageInSmallPiecesEndsConnectionWhenOverdue(t *testing.T) {
+	t.Parallel()
+	a, d, addr, _ := startAcceptor(t, 8, ack)
+	c := dial(t, addr)
+	start := time.Now()
+	query := paddedQueries(1, 64<<10)
+	for n := 0; a.counts.ClientOpen.Load() > 0; n++ {
+		c.WriteBytes(query[n : n+1])
+		time.Sleep(closeGrace / 4)
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("the connection is still open")
+		}
+	}
+	if took := time.Since(start); took > 3*time.Second || submittedCount(d) != 0 {
+		t.Errorf("the connection was closed after %v with %d ops submitted, want 3 s at most and none", took, submittedCount(d))
+	}
+}
+
+// A connection that was to be evicted, but whose command arrived just then, stays open as any other.
+func TestConnectionStaysOpenAfterEvictionWasCalledOff(t *testing.T) {
+	t.Parallel()
+	a, _, addr, _ := startAcceptor(t, 8, ack)
+	c := dial(t, addr)
+	expectReply := func() {
+		t.Helper()
+		if got, err := c.Query(lookupQuery); err != nil || got != "v1" {
+			t.Fatalf("got %q, %v, want v1", got, err)
+		}
+	}
+	expectReply()
+	a.mu.Lock()
+	for c := range a.conns {
+		a.evict(c)
+	}
+	a.mu.Unlock()
+	expectReply()
+	waitUntil(t, "the eviction is called off", func() bool { return !onlyConn(a).evicting.Load() })
+	time.Sleep(4 * closeGrace)
+	expectReply()
+}
+
 // onlyConn returns the only open connection.
 func onlyConn(a *Acceptor) *conn {
 	a.mu.Lock()
