Commands that arrived on a connection without room are answered

What came behind the error was read and thrown away, so no reset told the client. Tests, on the text before: CommandsOfConnectionWithoutRoomAreAnswered got "C53300$", want ""; CommandBehindRejectionStaysUnread timed out waiting for the reset.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -167,6 +167,7 @@
 		if !a.awaitAcceptCapacity(queue) {
 			a.counts.ClientRefused.Add(1)
 			a.counts.ClientOpen.Add(-1)
+			refuseArrived(netConn, a.settings.MaxMessageBytes)
 			netConn.Close()
 			continue
 		}
@@ -330,7 +331,7 @@
 	// inputDeadline is when the message that is being read has to be complete, zero if that time is not limited.
 	inputDeadline time.Time
 
-	// idleGraceEnd is until when the connection may be idle during a planned stop, zero before it is.
+	// idleGraceEnd is until when the connection may be idle while it is closing, zero before it is.
 	idleGraceEnd time.Time
 
 	// finalBytesKnown is true once finalBytes has been set.
@@ -360,6 +361,9 @@
 	// evicting is true if the connection was chosen to be closed and nothing has been received since.
 	evicting atomic.Bool
 
+	// surplus is true if there is no room for the connection.
+	surplus atomic.Bool
+
 	// readingDone is true once no further command is read. The connection closes after its pending replies.
 	readingDone atomic.Bool
 }
@@ -388,7 +392,7 @@
 		c.net.CloseWrite()
 		c.net.SetReadDeadline(time.Now().Add(closeGrace))
 		io.Copy(io.Discard, c.net)
-	case reason == errClosing && a.stopping.Load():
+	case reason == errClosing && c.isClosing():
 		// A command that arrives now stays unread, so that the client gets a reset.
 		c.net.CloseWrite()
 		time.Sleep(closeGrace)
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -68,7 +68,7 @@
 		}
 		pending := c.pendingReplies.Add(-1)
 		invariant.Check(pending >= 0, "no more replies are written than were queued")
-		if pending == 0 && (c.readingDone.Load() || c.acceptor.stopping.Load()) {
+		if pending == 0 && (c.readingDone.Load() || c.isClosing()) {
 			c.net.SetReadDeadline(exchange.Past)
 		}
 	}
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -375,6 +375,15 @@
 	ack(d.submitted[0])
 	expect(t, c, "v0")
 	<-stopped
+	expectReset(t, c)
+	if n := submittedCount(d); n != 1 {
+		t.Errorf("got %d ops submitted, want 1", n)
+	}
+}
+
+// expectReset waits until the connection of a client is reset.
+func expectReset(t *testing.T, c *standin.Client) {
+	t.Helper()
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
@@ -387,9 +396,6 @@
 		})
 		return reset
 	})
-	if n := submittedCount(d); n != 1 {
-		t.Errorf("got %d ops submitted, want 1", n)
-	}
 }
 
 func submittedCount(d *fakeDispatcher) int {
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -126,21 +126,41 @@
 			c.enqueueBytes([]byte{'N'}) // encryption is not supported: the client continues without it
 		case kind == pgwire.StartupCancel:
 			return errRejected
-		case !c.acceptor.awaitSessionCapacity(c):
-			return c.rejectConnection()
 		default:
 			c.releaseInput()
-			c.enqueueBytes(pgwire.AppendStartupReply(nil))
-			return nil
+			return c.startSession()
 		}
 	}
 }
 
-// rejectConnection tells a client that there is no room for its connection and returns errRejected.
+// startSession replies to the startup packet. If there is no room for the connection and several commands have already
+// arrived, the session starts, but closes once they are answered: they have been taken, and an error in place of the
+// session would answer the first of them only.
+func (c *conn) startSession() error {
+	if !c.acceptor.awaitSessionCapacity(c) {
+		if !c.hasSeveralCommands() {
+			return c.rejectConnection()
+		}
+		c.closeWhenIdle()
+	}
+	c.enqueueBytes(pgwire.AppendStartupReply(nil))
+	return nil
+}
+
+// hasSeveralCommands reports whether more has arrived than one command, at most.
+func (c *conn) hasSeveralCommands() bool {
+	arrived := c.readBuffer.Bytes()
+	size := pgwire.MessageSize(arrived)
+	return size > 0 && len(arrived) > size || c.hasUnreadInput()
+}
+
+// rejectConnection tells a client that there is no room for its connection and returns errClosing: commands that arrive
+// from now on stay unread, which tells the client to send them to another gateway.
 func (c *conn) rejectConnection() error {
 	c.acceptor.counts.ClientRefused.Add(1)
+	c.closeWhenIdle()
 	c.enqueueBytes(pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""))
-	return errRejected
+	return errClosing
 }
 
 // readMessage reads one message, which stays valid until the next call. The rest of an incomplete message has to arrive
@@ -198,7 +218,7 @@
 // the read timeout or during a planned stop. Then fill returns errClosing if no reply is pending and no command arrives
 // within a short grace period. If replies are pending it goes on reading.
 func (c *conn) fill() error {
-	for graceUsed := false; !c.acceptor.stopping.Load(); {
+	for graceUsed := false; !c.isClosing(); {
 		_, err := c.readOnce(c.readBuffer.Space())
 		switch {
 		case err == nil && graceUsed:
@@ -223,7 +243,7 @@
 			c.net.SetReadDeadline(time.Now().Add(grace))
 		}
 	}
-	return c.fillDuringStop()
+	return c.fillWhileClosing()
 }
 
 // fillOverdue reads more bytes of a message that is overdue. What has arrived is read first, as the process may have
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -44,19 +44,6 @@
 	return ready || err != nil
 }
 
-// unreadBytes returns how many bytes of the client have arrived and were not read. It returns 0 if the socket fails.
-func (c *conn) unreadBytes() (n int) {
-	rawConn, err := c.net.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	rawConn.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // poll asks the kernel, without waiting, whether any of the events has occurred on a socket.
 func poll(fd uintptr, events int16) bool {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
--- a/internal/clientside/stop.go
+++ b/internal/clientside/stop.go
@@ -17,6 +17,29 @@
 //   - finalReplyTime before the process may be killed: all ops are ended, and a connection reads only what had arrived by
 //     then. Clients that always have a command under way would otherwise keep their connection open until the kill.
 
+// A connection for which there is no room closes in the same way as in the second phase. There are overflowConns of these
+// at most.
+
+// closeWhenIdle makes a connection for which there is no room close as soon as it has neither a pending reply nor unread
+// input.
+func (c *conn) closeWhenIdle() {
+	c.idleGraceEnd = time.Now()
+	c.surplus.Store(true)
+}
+
+// hasRoomAgain reports whether there is room by now for a connection that had none. It is then like any other.
+func (a *Acceptor) hasRoomAgain(c *conn) bool {
+	if a.stopping.Load() || !a.ensureCapacity(c) {
+		return false
+	}
+	c.surplus.Store(false)
+	c.setReadDeadline(c.inputDeadline)
+	return true
+}
+
+// isClosing reports whether the connection closes as soon as it may.
+func (c *conn) isClosing() bool { return c.acceptor.stopping.Load() || c.surplus.Load() }
+
 // beginClosing begins the second phase: it wakes all readers, which then close their connections when they may.
 func (a *Acceptor) beginClosing() {
 	a.stopping.Store(true)
@@ -39,13 +62,13 @@
 	}
 }
 
-// fillDuringStop reads more bytes once the acceptor is stopping. It returns errClosing when the connection has to be
-// closed. Bytes that stay unread in the socket turn the close into a reset, which tells the client that a command was
-// not processed.
+// fillWhileClosing reads more bytes of a connection that is closing. It returns errClosing when it has to be closed.
+// Bytes that stay unread in the socket turn the close into a reset, which tells the client that a command was not
+// processed.
 //
 // Without pending replies and unread input, the reader waits once for closeGrace, as a command may arrive at that very
 // moment, and for closeGrace for each piece of a message that has begun.
-func (c *conn) fillDuringStop() error {
+func (c *conn) fillWhileClosing() error {
 	for graceEnd := (time.Time{}); ; {
 		// The deadline is set before the conditions are checked: whoever changes one of them then ends the read.
 		c.net.SetReadDeadline(c.inputDeadline)
@@ -63,6 +86,8 @@
 		case c.inputOverdue():
 			return errClosing
 		case c.pendingReplies.Load() > 0:
+		case c.acceptor.hasRoomAgain(c):
+			return nil
 		default:
 			if graceEnd.IsZero() {
 				graceEnd = c.closeGraceEnd()
@@ -80,7 +105,7 @@
 	}
 }
 
-// closeGraceEnd returns until when a connection waits for input during a planned stop although it has no pending reply.
+// closeGraceEnd returns until when a closing connection waits for input although it has no pending reply.
 // A connection waits only once between two messages, however busy it is.
 func (c *conn) closeGraceEnd() time.Time {
 	now := time.Now()
@@ -98,7 +123,7 @@
 func (c *conn) finalInput() int {
 	if !c.finalBytesKnown {
 		c.finalBytesKnown = true
-		c.finalBytes = c.unreadBytes()
+		c.finalBytes = unreadBytes(c.net)
 	}
 	return c.finalBytes
 }
--- a/internal/clientside/stop_test.go
+++ b/internal/clientside/stop_test.go
@@ -8,6 +8,7 @@
 
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/pgwire"
+	"gorsewell/internal/standin"
 )
 
 // paddedQueries returns n queries with the ids 0 to n-1, each with a value of the given length.
@@ -188,6 +189,160 @@
 	expectReply()
 }
 
+// Commands that had arrived with the startup packet were lost when there was no room for their connection: the one error
+// answered the first of them only.
+func TestCommandsOfConnectionWithoutRoomAreAnswered(t *testing.T) {
+	t.Parallel()
+	for _, commands := range []int{2, 4, 100, 1000} {
+		a, d, addr, _ := startAcceptor(t, 1, func(op *exchange.Exchange) {
+			if opID(op) != "x" {
+				ack(op)
+			}
+		})
+		busy := dial(t, addr)
+		busy.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", "id=x", 1)))
+		waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) == 1 }) // so that it is not evicted
+		c, err := standin.DialTCP(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		go c.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), numberedQueries(commands)...))
+		expect(t, c, "")
+		for n := range commands {
+			if expect(t, c, fmt.Sprintf("v%d", n)); t.Failed() {
+				t.FailNow()
+			}
+		}
+		expect(t, c, "$")
+		waitUntil(t, "the connection is closed", func() bool { return a.counts.ClientOpen.Load() == 1 })
+		ack(d.submitted[0])
+	}
+}
+
+// The same for a connection that is closed at once, as there is not even room to reject it: its commands are refused.
+func TestCommandsOfConnectionBeyondOverflowAreRefused(t *testing.T) {
+	t.Parallel()
+	a, d, addr, _ := startAcceptor(t, 1, ack)
+	a.counts.ClientOpen.Add(overflowConns + 2) // stands for others that are not evicted
+	for _, commands := range []int{0, 1, 4, 500} {
+		c, err := standin.DialTCP(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		input, whole := pgwire.AppendStartup(nil, "portal", "crm"), 0
+		for n := range commands { // long ones, too
+			if input = append(input, longQuery(fmt.Sprint(n), 5000*(n%2))...); len(input) <= 60<<10 {
+				whole++
+			}
+		}
+		c.WriteBytes(input[:min(len(input), 60<<10)])
+		if commands > 0 {
+			expect(t, c, "")
+		}
+		for range whole {
+			expect(t, c, "C53300")
+		}
+		if got, _ := c.ReadAnswer(); got != "$" && got != "" {
+			t.Errorf("%d commands: got %q, want the end", commands, got)
+		}
+	}
+	if submittedCount(d) != 0 {
+		t.Errorf("got %d ops submitted, want none", submittedCount(d))
+	}
+	a.counts.ClientOpen.Add(-overflowConns - 2)
+}
+
+// A command that arrived behind the error for a connection without room was read and thrown away, so that its client could
+// not tell that it was not processed. It stays unread now, and the client gets a reset.
+func TestCommandBehindRejectionStaysUnread(t *testing.T) {
+	t.Parallel()
+	_, d, addr, _ := startAcceptor(t, 1, func(*exchange.Exchange) {})
+	busy := dial(t, addr)
+	busy.WriteBytes(numberedQueries(1))
+	waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) == 1 })
+	c, err := standin.DialTCP(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.WriteBytes(pgwire.AppendStartup(nil, "portal", "crm"))
+	one := make([]byte, 1)
+	if _, err := c.Read(one); err != nil || one[0] != pgwire.ErrorResponse {
+		t.Fatalf("got %q, %v, want an error", one, err)
+	}
+	c.WriteBytes(numberedQueries(2))
+	expectReset(t, c)
+	ack(d.submitted[0])
+}
+
+// A connection without room goes on while there is a command, as its client cannot tell which of several were processed,
+// and closes between two requests.
+func TestConnectionWithoutRoomClosesBetweenRequests(t *testing.T) {
+	t.Parallel()
+	const commands = 200
+	_, d, addr, _ := startAcceptor(t, 1, func(*exchange.Exchange) {})
+	submitted := func(n int) *exchange.Exchange {
+		t.Helper()
+		waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) > n })
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.submitted[n]
+	}
+	busy := dial(t, addr)
+	busy.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", "id=x", 1)))
+	busyOp := submitted(0)
+	c, err := standin.DialTCP(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), numberedQueries(2)...))
+	expect(t, c, "")
+	for n := range commands { // another one is under way when a reply is written, but for the last
+		if n+1 < commands {
+			submitted(n + 2)
+		}
+		ack(submitted(n + 1))
+		expect(t, c, fmt.Sprintf("v%d", n))
+		if n+2 < commands {
+			c.WriteBytes(longQuery(fmt.Sprint(n+2), 1))
+		}
+	}
+	expect(t, c, "$")
+	ack(busyOp)
+}
+
+// A connection for which there is room again is like any other.
+func TestConnectionStaysOpenOnceThereIsRoom(t *testing.T) {
+	t.Parallel()
+	a, d, addr, _ := startAcceptor(t, 1, func(*exchange.Exchange) {})
+	busy := dial(t, addr)
+	busy.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", "id=x", 1)))
+	waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) == 1 })
+	c, err := standin.DialTCP(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), numberedQueries(2)...))
+	expect(t, c, "")
+	waitUntil(t, "the ops are submitted", func() bool { return submittedCount(d) == 3 })
+	ack(d.submitted[0])
+	expect(t, busy, "vx")
+	busy.Close()
+	waitUntil(t, "there is room", func() bool { return a.counts.ClientOpen.Load() == 1 })
+	ack(d.submitted[1])
+	ack(d.submitted[2])
+	expect(t, c, "v0")
+	expect(t, c, "v1")
+	time.Sleep(4 * closeGrace) // time in which it would be closed
+	if got, err := c.Query(";"); err != nil || got != "I" {
+		t.Errorf("got %q, %v, want I", got, err)
+	}
+}
+
 // onlyConn returns the only open connection.
 func onlyConn(a *Acceptor) *conn {
 	a.mu.Lock()
