A planned stop reads on for 0.1 s after it has ended its ops

What the client had written and the gateway's machine had not received yet was not read, as reading was limited at the moment at which all ops are ended. Ops that come later are given up at once, so reading on for 0.1 s costs little; only then it is limited to what has arrived, 0.05 s before the earliest kill. StopEndsConnectionThatIs- NeverIdle waits for the stop itself instead of the end of reading, which come at different moments now; what it checks is the same.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -61,6 +61,9 @@
 	// finalReplyTime is how long before the kill the ops that are still open are ended, so that the replies to them can
 	// be written.
 	finalReplyTime = 150 * time.Millisecond
+
+	// finalReadTime is how long after that connections go on reading. What they read is given up at once.
+	finalReadTime = 100 * time.Millisecond
 )
 
 // Acceptor accepts client connections and serves them.
@@ -82,7 +85,7 @@
 	// stopping is true from the second phase of a planned stop on, see stop.go.
 	stopping atomic.Bool
 
-	// finalReads is true in the last phase of a planned stop.
+	// finalReads is true at the end of a planned stop, when only what has arrived may still be read.
 	finalReads atomic.Bool
 
 	// mu guards conns and openIDs, and the reserved memory of connections.
@@ -121,8 +124,11 @@
 	stop()
 	l.Close()
 	a.beginClosing()
-	endOps := time.AfterFunc(a.longestOpTimeout()+killGrace-stopAcceptPeriod-finalReplyTime, a.endOps)
+	untilOpsEnd := a.longestOpTimeout() + killGrace - stopAcceptPeriod - finalReplyTime
+	endOps := time.AfterFunc(untilOpsEnd, a.dispatcher.Stop)
 	defer endOps.Stop()
+	limitReads := time.AfterFunc(untilOpsEnd+finalReadTime, a.limitReads)
+	defer limitReads.Stop()
 	return errors.Join(err, group.Wait())
 }
 
@@ -337,7 +343,7 @@
 	// finalBytesKnown is true once finalBytes has been set.
 	finalBytesKnown bool
 
-	// finalBytes is how many bytes may still be read in the last phase of a planned stop.
+	// finalBytes is how many bytes may still be read at the end of a planned stop.
 	finalBytes int
 
 	// mu guards readPaused, and with it the read deadlines that pause and resume the reader.
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -33,6 +33,9 @@
 
 	// ignoresStop makes Stop leave the open ops open.
 	ignoresStop bool
+
+	// onStop, if not nil, is called at Stop.
+	onStop func()
 }
 
 func (d *fakeDispatcher) Submit(op *exchange.Exchange) {
@@ -46,6 +49,9 @@
 
 // Stop ends all open ops with an error.
 func (d *fakeDispatcher) Stop() {
+	if d.onStop != nil {
+		d.onStop()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, op := range d.submitted {
--- a/internal/clientside/stop.go
+++ b/internal/clientside/stop.go
@@ -14,8 +14,9 @@
 //   - stopAcceptPeriod: the listener is closed. A connection is closed as soon as it has no pending reply and no unread
 //     input. Until then all its commands are processed: those that lie unread in the socket have been taken, too, and a
 //     client cannot tell that they should be sent to another gateway.
-//   - finalReplyTime before the process may be killed: all ops are ended, and a connection reads only what had arrived by
-//     then. Clients that always have a command under way would otherwise keep their connection open until the kill.
+//   - finalReplyTime before the process may be killed: all ops are ended, and further ones are given up at once.
+//     finalReadTime later a connection reads only what has arrived by then. Clients that always have a command under way
+//     would otherwise keep their connection open until the kill.
 
 // A connection for which there is no room closes in the same way as in the second phase. There are overflowConns of these
 // at most.
@@ -46,10 +47,9 @@
 	a.wakeReaders()
 }
 
-// endOps begins the third phase.
-func (a *Acceptor) endOps() {
+// limitReads makes connections read only what has arrived.
+func (a *Acceptor) limitReads() {
 	a.finalReads.Store(true)
-	a.dispatcher.Stop()
 	a.wakeReaders()
 }
 
@@ -118,8 +118,7 @@
 	return c.idleGraceEnd
 }
 
-// finalInput returns how many bytes may still be read in the last phase of a planned stop: at first as many as have
-// arrived.
+// finalInput returns how many bytes may still be read at the end of a planned stop: at first as many as have arrived.
 func (c *conn) finalInput() int {
 	if !c.finalBytesKnown {
 		c.finalBytesKnown = true
--- a/internal/clientside/stop_test.go
+++ b/internal/clientside/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,12 +78,43 @@
 	expect(t, c, "$")
 }
 
+// More commands than fit into the buffers of the gateway's machine are answered, too, although none can be served any
+// more: the client has written them.
+func TestStopRefusesAllCommandsThatCannotBeServed(t *testing.T) {
+	t.Parallel()
+	const commands = 3000
+	var a *Acceptor
+	var stopped atomic.Bool
+	a, d, addr, stop := startAcceptor(t, 8, func(op *exchange.Exchange) {
+		if stopped.Load() { // as the dispatcher does
+			finish(op, exchange.BusyReplied)
+		}
+	})
+	d.onStop = func() { stopped.Store(true) }
+	c := dial(t, addr)
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	go c.WriteBytes(paddedQueries(commands, 200))
+	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == maxPendingCommands })
+	go stop()
+	for n := range commands {
+		want := "C53300"
+		if n < maxPendingCommands {
+			want = "C08007"
+		}
+		if expect(t, c, want); t.Failed() {
+			t.Fatalf("command %d, reads limited %v", n, a.finalReads.Load())
+		}
+	}
+	expect(t, c, "$")
+}
+
 // A client that always has a command under way must not keep its connection open until the process is killed. All
 // commands that were read are answered.
 func TestStopEndsConnectionThatIsNeverIdle(t *testing.T) {
 	t.Parallel()
 	var a *Acceptor
 	var d *fakeDispatcher
+	var stopped atomic.Bool // from then on ops are given up at once
 	started := make(chan struct{})
 	a, d, addr, stop := startAcceptor(t, 8, func(*exchange.Exchange) {
 		<-started
@@ -90,18 +122,19 @@
 		defer d.mu.Unlock()
 		for i, op := range d.submitted {
 			isLast := i == len(d.submitted)-1
-			if !op.IsDone() && (!isLast || a.finalReads.Load()) {
+			if !op.IsDone() && (!isLast || stopped.Load()) {
 				ack(op) // each op ends when the next one is there
 			}
 		}
 	})
+	d.onStop = func() { stopped.Store(true) }
 	close(started)
 	c := dial(t, addr)
 	c.SetDeadline(time.Now().Add(20 * time.Second))
 	c.WriteBytes(numberedQueries(2))
-	stopped := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
-		defer close(stopped)
+		defer close(ended)
 		stop()
 	}()
 	answered := 0
@@ -111,7 +144,7 @@
 		}
 		c.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", fmt.Sprintf("id=%d", answered+2), 1)))
 	}
-	<-stopped
+	<-ended
 	if !a.finalReads.Load() {
 		t.Error("the connection was closed although a command was always under way")
 	}
