Tests of the acceptor read no statement after its op ended, nor need a speed

Trace: opID read an op's statement in one goroutine while Stop ended the op in another and its statement was freed; only the tests' stand-in does that, as the real dispatcher frees it when no send uses it any more. The stand-in notes the id when an op is submitted. StopRefusesAllCommandsThatCannotBe- Served failed once with the race detector beside that load (2,377 of 3,000 within the 0.1 s of the real stop); it goes through the phases of the stop by hand now, and checks the same for all 3,000. The program is unchanged.

--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -39,6 +39,7 @@
 }
 
 func (d *fakeDispatcher) Submit(op *exchange.Exchange) {
+	opIDs.Store(op, string(op.Statement.(*pgwire.Statement).ID))
 	d.mu.Lock()
 	d.submitted = append(d.submitted, op)
 	d.mu.Unlock()
@@ -85,8 +86,14 @@
 	op.Release()
 }
 
+// opIDs holds the client's ids for the submitted ops. An op's statement is freed at its end, while tests still ask for its id.
+var opIDs sync.Map
+
 // opID returns the client's id for the op.
-func opID(op *exchange.Exchange) string { return string(op.Statement.(*pgwire.Statement).ID) }
+func opID(op *exchange.Exchange) string {
+	id, _ := opIDs.Load(op)
+	return id.(string)
+}
 
 func ack(op *exchange.Exchange) {
 	row := standin.Row("v"+opID(op), "primary", 1)
--- a/internal/clientside/stop_test.go
+++ b/internal/clientside/stop_test.go
@@ -83,9 +83,8 @@
 func TestStopRefusesAllCommandsThatCannotBeServed(t *testing.T) {
 	t.Parallel()
 	const commands = 3000
-	var a *Acceptor
 	var stopped atomic.Bool
-	a, d, addr, stop := startAcceptor(t, 8, func(op *exchange.Exchange) {
+	a, d, addr, _ := startAcceptor(t, 8, func(op *exchange.Exchange) {
 		if stopped.Load() { // as the dispatcher does
 			finish(op, exchange.BusyReplied)
 		}
@@ -95,14 +94,15 @@
 	c.SetDeadline(time.Now().Add(20 * time.Second))
 	go c.WriteBytes(paddedQueries(commands, 200))
 	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == maxPendingCommands })
-	go stop()
+	a.beginClosing() // the phases of a stop, without its times
+	d.Stop()
 	for n := range commands {
 		want := "C53300"
 		if n < maxPendingCommands {
 			want = "C08007"
 		}
 		if expect(t, c, want); t.Failed() {
-			t.Fatalf("command %d, reads limited %v", n, a.finalReads.Load())
+			t.Fatalf("command %d", n)
 		}
 	}
 	expect(t, c, "$")
