--- a/internal/clientside/memory_test.go
+++ b/internal/clientside/memory_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -66,18 +65,12 @@
 		whole := longQuery("x", []int{60 << 10, 150 << 10, 1 << 20}[i%3])
 		halves[i] = whole[:len(whole)*9/10]
 	}
-	heap := func() int64 {
-		runtime.GC()
-		var stats runtime.MemStats
-		runtime.ReadMemStats(&stats)
-		return int64(stats.HeapAlloc)
-	}
-	before := heap()
+	before := standin.LiveHeap()
 	start := time.Now()
 	conns := sendAll(t, addr, halves...)
 	const connectionBytes = 16 << 10
 	limit := a.budgets.ops.Limit() + a.budgets.long.Limit() + a.budgets.oversize.Limit() + clients*connectionBytes
-	if grown := heap() - before; grown > limit {
+	if grown := standin.LiveHeap() - before; grown > limit {
 		t.Errorf("the heap has grown by %d KiB, want %d KiB at most", grown>>10, limit>>10)
 	}
 	c := dial(t, addr)
--- a/internal/clientside/stop_test.go
+++ b/internal/clientside/stop_test.go
@@ -309,6 +309,23 @@
 	ack(d.submitted[0])
 }
 
+// clientWithoutRoom returns a client whose open op, of the id x, takes the only room of an acceptor, and a second one for
+// which there is no room and which has sent two commands.
+func clientWithoutRoom(t *testing.T, addr string, d *fakeDispatcher) (busy, second *standin.Client) {
+	t.Helper()
+	busy = dial(t, addr)
+	busy.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", "id=x", 1)))
+	waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) == 1 })
+	second, err := standin.DialTCP(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { second.Close() })
+	second.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), numberedQueries(2)...))
+	expect(t, second, "")
+	return busy, second
+}
+
 // A connection without room goes on while there is a command, as its client cannot tell which of several were processed,
 // and closes between two requests.
 func TestConnectionWithoutRoomClosesBetweenRequests(t *testing.T) {
@@ -322,16 +339,8 @@
 		defer d.mu.Unlock()
 		return d.submitted[n]
 	}
-	busy := dial(t, addr)
-	busy.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", "id=x", 1)))
+	_, c := clientWithoutRoom(t, addr, d)
 	busyOp := submitted(0)
-	c, err := standin.DialTCP(addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), numberedQueries(2)...))
-	expect(t, c, "")
 	for n := range commands { // another one is under way when a reply is written, but for the last
 		if n+1 < commands {
 			submitted(n + 2)
@@ -350,16 +359,7 @@
 func TestConnectionStaysOpenOnceThereIsRoom(t *testing.T) {
 	t.Parallel()
 	a, d, addr, _ := startAcceptor(t, 1, func(*exchange.Exchange) {})
-	busy := dial(t, addr)
-	busy.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1", "id=x", 1)))
-	waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) == 1 })
-	c, err := standin.DialTCP(addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), numberedQueries(2)...))
-	expect(t, c, "")
+	busy, c := clientWithoutRoom(t, addr, d)
 	waitUntil(t, "the ops are submitted", func() bool { return submittedCount(d) == 3 })
 	ack(d.submitted[0])
 	expect(t, busy, "vx")
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -18,6 +18,20 @@
 const insertStatement = `INSERT INTO facts (code, data) VALUES ('7f3a9c21', '\x9f03') RETURNING data ` +
 	`/* id=9b1f03aa,c=order,d=480,k=5c0f6e1a,cluster=2 */`
 
+// readMessages passes all complete messages in a buffer to a function.
+func readMessages(t interface{ Fatal(...any) }, buffer *ReadBuffer, process func(Message)) {
+	for {
+		m, ok, err := buffer.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !ok {
+			return
+		}
+		process(m)
+	}
+}
+
 func TestNextParsesMessagesSplitAcrossReads(t *testing.T) {
 	stream := AppendQuery(nil, "SELECT 1")
 	stream = AppendReady(AppendMessage(stream, ErrorResponse, strings.Repeat("x", 9000)))
@@ -28,16 +42,7 @@
 			n := copy(buffer.Space(), rest[:min(step, len(rest))])
 			buffer.Filled(n)
 			rest = rest[n:]
-			for {
-				m, ok, err := buffer.Next()
-				if err != nil {
-					t.Fatal(err)
-				}
-				if !ok {
-					break
-				}
-				got = append(got, string(m.Type)+string(m.Body))
-			}
+			readMessages(t, &buffer, func(m Message) { got = append(got, string(m.Type)+string(m.Body)) })
 		}
 		want := []string{"QSELECT 1\x00", "E" + strings.Repeat("x", 9000), "ZI"}
 		if strings.Join(got, "|") != strings.Join(want, "|") {
@@ -264,20 +269,13 @@
 			n := copy(space, stream[:min(len(stream), rapid.IntRange(1, 9000).Draw(t, "n"))])
 			stream = stream[n:]
 			buffer.Filled(n)
-			for {
-				m, ok, err := buffer.Next()
-				if err != nil {
-					t.Fatal(err)
-				}
-				if !ok {
-					break
-				}
+			readMessages(t, &buffer, func(m Message) {
 				if len(m.Body)+5 != sizes[m.Type-'a'] {
 					t.Fatalf("message %c has %d bytes, want %d", m.Type, len(m.Body)+5, sizes[m.Type-'a'])
 				}
 				got = append(got, m.Type)
 				buffer.Shrink()
-			}
+			})
 			if size := MessageSize(buffer.Bytes()); !buffer.Holds(size) {
 				if name := buffer.Bytes()[0]; rapid.Bool().Draw(t, "skip") {
 					skipped[name] = true
--- a/internal/serverside/memory_test.go
+++ b/internal/serverside/memory_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -42,13 +41,7 @@
 	const conns, valueBytes, connectionBytes = 64, 150 << 10, 40 << 10 // the connections of both ends
 	half := standin.Row(strings.Repeat("v", valueBytes), "replica", 1)[:valueBytes*9/10]
 	p, ended := newPool(t, conns, &standin.Database{Answer: func(string) ([]byte, bool) { return half, true }})
-	heap := func() int64 {
-		runtime.GC()
-		var stats runtime.MemStats
-		runtime.ReadMemStats(&stats)
-		return int64(stats.HeapAlloc)
-	}
-	before := heap()
+	before := standin.LiveHeap()
 	deadline := p.clock.Now() + time.Second
 	for range conns {
 		p.sendUntil(newOp(t), 0, testServer, deadline)
@@ -56,7 +49,7 @@
 	waitUntil(t, "the others wait for memory", func() bool {
 		return p.counts.AnswersDelayed.Load() >= conns-p.answers.Limit()/valueBytes/longMessageCopies
 	})
-	if grown, limit := heap()-before, p.answers.Limit()+conns*connectionBytes; grown > limit {
+	if grown, limit := standin.LiveHeap()-before, p.answers.Limit()+conns*connectionBytes; grown > limit {
 		t.Errorf("the heap has grown by %d KiB, want %d KiB at most", grown>>10, limit>>10)
 	}
 	for range conns {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"time"
@@ -270,6 +271,14 @@
 	}
 }
 
+// LiveHeap returns the size of the heap in bytes after a garbage collection.
+func LiveHeap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // BreaksAssertion reports whether an assertion fails while f runs, both in debug builds, where it panics, and in
 // others, where it is counted.
 func BreaksAssertion(f func()) (broke bool) {
