--- /dev/null
+++ b/cmd/gorsewell/flood_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gorsewell/internal/pgwire"
+	"gorsewell/internal/standin"
+)
+
+// The bounds that usual clients are promised beside any flood.
+const (
+	usualP99        = 30 * time.Millisecond
+	usualMaxRefused = 0.02
+	usualWait       = 800 * time.Millisecond
+)
+
+// floodKind is one kind of input that a client repeats at full speed.
+type floodKind struct {
+	name string
+
+	// next returns the n-th piece of input of a client.
+	next func(client, n int) []byte
+}
+
+// floodQuery returns a lookup with the given id, op type, wait in milliseconds and group.
+func floodQuery(id, opType string, wait, group int) []byte {
+	return pgwire.AppendQuery(nil, fmt.Sprintf("SELECT data FROM facts WHERE code = 'k' /* id=%s,c=%s,d=%d,cluster=%d */",
+		id, opType, wait, group))
+}
+
+// floodKinds returns all kinds of floods.
+func floodKinds() []floodKind {
+	id := func(client, n int) string { return fmt.Sprintf("f%dx%d", client, n) }
+	return []floodKind{
+		{"empty", func(int, int) []byte { return pgwire.AppendQuery(nil, "") }},
+		{"new op types", func(c, n int) []byte { return floodQuery(id(c, n), "t"+id(c, n), 800, 0) }},
+		{"no id", func(int, int) []byte { return pgwire.AppendQuery(nil, "SELECT 1 /* c=lookup,cluster=0 */") }},
+		{"no comment", func(int, int) []byte { return pgwire.AppendQuery(nil, "SELECT 1") }},
+		{"unknown groups", func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 1+n%60000) }},
+		{"open id", func(int, int) []byte { return floodQuery("same", "lookup", 800, 0) }},
+		{"no time", func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 0, 0) }},
+		{"valid", func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 0) }},
+		{"long", func(c, n int) []byte {
+			query := "SELECT data FROM facts WHERE code = '" + strings.Repeat("x", 60<<10) + "' /* c=lookup,cluster=0 */"
+			return pgwire.AppendQuery(nil, query)
+		}},
+	}
+}
+
+// flood sends input of one kind on one connection at full speed until the context ends, and reads what it is sent.
+func flood(ctx context.Context, addr string, kind floodKind, client int) {
+	c, err := standin.Dial(addr)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	var reading sync.WaitGroup
+	reading.Go(func() { io.Copy(io.Discard, c.Conn) })
+	defer reading.Wait()
+	for n := 0; ctx.Err() == nil; {
+		var batch []byte
+		for len(batch) < 32<<10 {
+			batch = append(batch, kind.next(client, n)...)
+			n++
+		}
+		if c.WriteBytes(batch) != nil {
+			return
+		}
+	}
+}
+
+// usualResult is what became of the commands of usual clients.
+type usualResult struct {
+	latencies                   []time.Duration
+	refused, failed, unanswered int
+	failures                    []string
+}
+
+func (r *usualResult) String() string {
+	slices.Sort(r.latencies)
+	n := len(r.latencies)
+	if n == 0 {
+		return "no answers"
+	}
+	return fmt.Sprintf("%d answers: p50 %v, p99 %v, max %v; %d refused, %d failed, %d unanswered", n,
+		r.latencies[n/2], r.latencies[n*99/100], r.latencies[n-1], r.refused, r.failed, r.unanswered)
+}
+
+// usualClients runs clients that send one command at a time for some time, and returns what became of these.
+func usualClients(addr string, count int, length, pause time.Duration) *usualResult {
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	result := &usualResult{}
+	end := time.Now().Add(length)
+	for client := range count {
+		clients.Go(func() {
+			var c *standin.Client
+			for n := 0; time.Now().Before(end); n++ {
+				var err error
+				if c == nil {
+					c, err = standin.Dial(addr)
+				}
+				start, got := time.Now(), ""
+				if err == nil {
+					c.SetDeadline(start.Add(usualWait + time.Second))
+					got, err = c.Query(fmt.Sprintf("SELECT data FROM facts WHERE code = 'k' /* id=u%dx%d,c=lookup,d=%d,cluster=0 */",
+						client, n, usualWait.Milliseconds()))
+				}
+				took := time.Since(start)
+				mu.Lock()
+				result.latencies = append(result.latencies, took)
+				switch {
+				case err != nil || strings.HasSuffix(got, "$"):
+					result.unanswered++
+					result.failures = append(result.failures, fmt.Sprintf("%q, %v after %v", got, err, took))
+				case strings.HasPrefix(got, "C53300"):
+					result.refused++
+				case got != "v":
+					result.failed++
+					result.failures = append(result.failures, fmt.Sprintf("%q after %v", got, took))
+				}
+				mu.Unlock()
+				if err != nil && c != nil {
+					c.Close()
+					c = nil
+				}
+				time.Sleep(time.Duration(rand.Int64N(int64(2 * pause))))
+			}
+			if c != nil {
+				c.Close()
+			}
+		})
+	}
+	clients.Wait()
+	return result
+}
+
+// check reports what is not as promised.
+func (r *usualResult) check(t *testing.T) {
+	t.Helper()
+	summary := r.String()
+	t.Log(summary)
+	n := len(r.latencies)
+	if n == 0 || r.unanswered > 0 || r.failed > 0 || r.latencies[n-1] > usualWait {
+		t.Errorf("usual clients: %s, want all answered within %v; %q", summary, usualWait, r.failures[:min(5, len(r.failures))])
+	}
+	if float64(r.refused) > usualMaxRefused*float64(n) {
+		t.Errorf("usual clients: %s, want less than 2%% refused", summary)
+	}
+	if n > 0 && !raceDetector && r.latencies[n*99/100] > usualP99 { // the race detector slows the gateway down
+		t.Errorf("usual clients: %s, want a p99 of at most %v", summary, usualP99)
+	}
+}
+
+// Answers to usual clients came late or never beside clients that sent at full speed.
+func TestUsualClientsAreAnsweredInTimeBesideFloods(t *testing.T) {
+	for _, kind := range floodKinds() {
+		for _, clients := range []int{1, 6, 64} {
+			t.Run(fmt.Sprintf("%s/%d", kind.name, clients), func(t *testing.T) {
+				cmd, addr, out, _ := startGateway(t, func(role, query string) ([]byte, bool) {
+					if strings.Contains(query, "id=same,") {
+						time.Sleep(usualWait / 2) // it is open meanwhile
+					}
+					time.Sleep(time.Millisecond)
+					return standin.Row("v", role, time.Now().UnixMilli()), true
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var floods sync.WaitGroup
+				for n := range clients {
+					floods.Go(func() { flood(ctx, addr, kind, n) })
+				}
+				usualClients(addr, 24, time.Second, 40*time.Millisecond).check(t)
+				cmd.Process.Signal(syscall.SIGUSR1)
+				cancel()
+				floods.Wait()
+				if log := out.String(); strings.Contains(log, "set aside") || strings.Contains(log, "discovery_failed") {
+					t.Errorf("the gateway blamed servers or discovery; log %s", log)
+				}
+			})
+		}
+	}
+}
