The log names servers, op ids and reasons of decisions, failed sends, refusals and closes

The decision module reports typed events (choice/event.go) in place of a line of text; events of single ops and connections are logged at a limited rate (internal/eventlog, golang.org/x/time/rate), and given_up_* counts the reasons for which ops are given up. The simulator's log gets decisions about servers only, as before, and "server returned".

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -144,6 +144,7 @@
 	firstErrorFrom  *server       // the first server that answered it with an error
 	minPosition     time.Duration // position that a replica must have reached to answer it
 	mayHaveRunAt    time.Duration // time of the first send that may have run, or never
+	lastResult      Result        // of the newest send that has ended
 	retriesEnd      time.Duration // op timeout counted from the first try; there is no retry after it
 	endedAt         time.Duration // when it ended without an answer
 	retryFrom       time.Duration // when the client may retry, by the time named in the busy reply
@@ -298,7 +299,7 @@
 	}
 	g.ops[id] = o
 	if g.stopped {
-		g.giveUp(now, o)
+		g.giveUp(now, o, ReasonStopping)
 		return
 	}
 	g.probeBudget += probesPerOp
@@ -378,7 +379,7 @@
 	if o == nil || o.sentTo == nil || int(number) != o.sends-1 {
 		return
 	}
-	s, o.sentTo = o.sentTo, nil
+	s, o.sentTo, o.lastResult = o.sentTo, nil, result
 	s.openSends = slices.DeleteFunc(s.openSends, func(p *op) bool { return p == o })
 	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Declined
 	if neverRan && o.mayHaveRunAt == o.sentAt {
@@ -426,7 +427,7 @@
 	g.stopped = true
 	for _, o := range g.ops {
 		if !o.done {
-			g.giveUp(now, o)
+			g.giveUp(now, o, ReasonStopping)
 		}
 	}
 }
@@ -444,7 +445,8 @@
 
 // giveUp ends an op at once with a busy reply or an error. The busy reply invites another try. Rule 2, which forbids
 // double effects, therefore allows it only for an op that cannot have run or that may run again.
-func (g *Gateway) giveUp(now time.Duration, o *op) {
+func (g *Gateway) giveUp(now time.Duration, o *op, reason Reason) {
+	g.host.Decided(Event{Kind: OpGivenUp, Op: o.id, Reason: reason})
 	if t := o.opType; o.mayHaveRunAt == never || t.Effect == Retryable || t.Effect == Tokened && t.Scope == ScopeAll {
 		retryAfter := min(g.maxRetryAfter, map[bool]time.Duration{true: t.Target, false: t.Timeout}[t.LateValue > 0])
 		g.host.BusyReply(o.id, retryAfter) // without a late value, a retry is of no use before the op timeout
@@ -466,11 +468,26 @@
 	return min(min(end, o.clientLeavesAt)-o.opType.meanAnswerTime(), o.clientLeavesAt-2*g.tick)
 }
 
+// reasonToGiveUp returns why an op cannot be answered any more, or NoReason if it still can.
+func (g *Gateway) reasonToGiveUp(now time.Duration, o *op) Reason {
+	switch {
+	case o.failsEverywhere:
+		return ReasonFailsEverywhere
+	case len(o.group.members) == 0:
+		return ReasonNoServers
+	case now >= g.latestAllowedSend(o):
+		return ReasonNoSendAllowed
+	case now >= g.latestUsefulSend(o):
+		return ReasonNoTimeLeft
+	}
+	return NoReason
+}
+
 // place sends an op to a server that is fit for it, holds it if there is none now, or gives it up if a send can no
 // longer be useful or is no longer allowed.
 func (g *Gateway) place(now time.Duration, o *op) {
-	if o.failsEverywhere || now >= min(g.latestUsefulSend(o), g.latestAllowedSend(o)) || len(o.group.members) == 0 {
-		g.giveUp(now, o)
+	if reason := g.reasonToGiveUp(now, o); reason != NoReason {
+		g.giveUp(now, o, reason)
 	} else if s := g.chooseServer(now, o); s != nil && g.send(now, o, s) {
 		o.removeFromHeld()
 	} else if !o.held {
@@ -625,6 +642,9 @@
 		!g.coldLimitAllows(now, o, s) { // rule 4: a cold server never gets more than its multiple
 		return false
 	}
+	if o.sends > 0 {
+		g.host.Decided(Event{Kind: OpRetried, Op: o.id, Server: s.id, Reason: reasonOfResult(o.lastResult)})
+	}
 	o.sentTo, o.sentAt, o.waitStart, o.mayHaveRunAt = s, now, now, min(o.mayHaveRunAt, now)
 	o.sends++
 	s.group.openSends++
@@ -691,7 +711,7 @@
 		if s.group.primary = s; p != nil {
 			g.host.Withdraw(p.id) // rule 5: sends that have not begun there were meant for a primary
 		}
-		g.host.Log("primary found")
+		g.host.Decided(Event{Kind: PrimaryFound, Server: s.id})
 	} else if role == Replica && p == s {
 		s.group.primary = nil
 		g.host.Withdraw(s.id)
@@ -766,18 +786,18 @@
 	case result == Acked:
 		s.backoff = 0
 		if e := o.firstErrorFrom; e != nil && e != s && e != e.group.primary {
-			g.backOff(now, e, Failing, false) // a primary that fails some ops is still the only server for writes
+			g.backOff(now, e, ReasonFailing, false) // a primary that fails some ops is still the only server for writes
 		}
 	case result == ServerError && o.firstErrorFrom == nil:
 		o.firstErrorFrom = s // the fault is the server's or the op's; another server's answer will tell which
 	case result == ServerFull:
-		g.backOff(now, s, NoTrouble, false) // a full server is busy, which is no trouble to report
+		g.backOff(now, s, ReasonFull, false)
 	case result == NoConnection, result == Reset:
 		// A reset may concern the connection alone, so it does not count here.
 		if result == NoConnection && s.backoff > 0 && o.sentAt >= s.aliveAsOf {
 			g.markLost(now, s)
 		}
-		g.backOff(now, s, Unreachable, false)
+		g.backOff(now, s, ReasonUnreachable, false)
 	}
 	// Only acks, full servers and timeouts show how much a server can take. A send that timed out although a later one
 	// was answered may have been lost rather than late, so it shows nothing. Nor does a result that arrives just when a
@@ -820,8 +840,10 @@
 // the first if rumours have reached rumourThreshold, the server is set aside: it is not used until it has answered
 // probes. A primary is set aside only if the caller is certain, as writes have no other place. At most half of a group
 // is set aside.
-func (g *Gateway) backOff(now time.Duration, s *server, trouble Trouble, certain bool) {
-	if trouble != NoTrouble {
+//
+// The reason is reported as a trouble to the host if this gateway itself has seen it.
+func (g *Gateway) backOff(now time.Duration, s *server, reason Reason, certain bool) {
+	if trouble := troubleOfReason(reason); trouble != NoTrouble {
 		g.reportTrouble(s, trouble)
 	}
 	if now < s.backoffEnd {
@@ -840,7 +862,7 @@
 		s.probesNeeded = probesToReturn
 	} else if g.mayProbe && certain && 2*setAside <= len(s.group.members) {
 		s.probesNeeded, s.nextProbeAt = probesToReturn, s.backoffEnd
-		g.host.Log("server set aside")
+		g.host.Decided(Event{Kind: ServerSetAside, Server: s.id, Reason: reason})
 	}
 }
 
@@ -935,8 +957,11 @@
 	defer g.placeHeld(now, s.group)
 	if result == NoConnection || result == Reset || result == TimedOut {
 		g.markLost(now, s)
-		g.backOff(now, s, Unreachable, false)
+		g.backOff(now, s, ReasonUnreachable, false)
 	} else if result != NotSent { // an error is an answer too, as probes may fail at servers that serve ops
+		if s.probesNeeded == 1 && s.backoff > 0 {
+			g.host.Decided(Event{Kind: ServerReturned, Server: s.id})
+		}
 		s.probesNeeded = max(0, s.probesNeeded-1)
 		g.markAlive(now, s, now-took)
 	}
@@ -1036,9 +1061,9 @@
 				warmServers++
 			}
 			if s.silent(now, 2*overdueFactor) {
-				g.backOff(now, s, Silence, true)
+				g.backOff(now, s, ReasonSilence, true)
 			} else if s.rumour >= rumourThreshold && s.silent(now, overdueFactor) {
-				g.backOff(now, s, NoTrouble, true) // not reported: without the rumour it would not be a symptom yet
+				g.backOff(now, s, ReasonRumouredSilence, true) // no trouble: without the rumour it would not be a symptom yet
 			}
 			g.cancelLostSends(now, s)
 			if s.probesNeeded > 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -18,6 +18,7 @@
 	withdrawn  []uint32      // servers from which unbegun sends were withdrawn
 	beginBy    time.Duration // of the newest send
 	retryAfter time.Duration // of the newest busy reply
+	decided    []Event
 }
 
 func (h *recordingHost) record(format string, args ...any) {
@@ -36,7 +37,7 @@
 func (h *recordingHost) WatchList()                        { h.record("watch") }
 func (h *recordingHost) CloseIdle(server uint32)           {}
 func (h *recordingHost) Forget(server uint32)              { h.record("forget %d", server) }
-func (h *recordingHost) Log(line string)                   {}
+func (h *recordingHost) Decided(e Event)                   { h.decided = append(h.decided, e) }
 
 func (h *recordingHost) Send(op, server uint32, beginBy time.Duration) {
 	h.record("send %d to %d", op, server)
@@ -698,7 +699,7 @@
 	for lateValue, retryAfter := range map[float64]time.Duration{0: 2 * time.Second, 0.5: 400 * ms} {
 		g, h := newTestGateway(func(d *Deployment) { d.MaxRetryAfter, d.OpTypes[anyRead].LateValue = time.Minute, lateValue })
 		submitOp(g, 0, 1, anyRead)
-		if g.giveUp(0, g.ops[1]); h.retryAfter != retryAfter {
+		if g.giveUp(0, g.ops[1], ReasonNoTimeLeft); h.retryAfter != retryAfter {
 			t.Errorf("late value %v: got retry after %v, want the op timeout only without late value", lateValue, h.retryAfter)
 		}
 	}
@@ -817,7 +818,7 @@
 // while it serves ops.
 func TestProbesOfServersSetAsideAreLimitedAndErrorsCount(t *testing.T) {
 	g, h := newTestGateway(nil)
-	g.backOff(0, g.servers[2], NoTrouble, true)
+	g.backOff(0, g.servers[2], ReasonRumouredSilence, true)
 	g.probeBudget = 0
 	g.Timer(50*ms, 0)
 	wantActions(t, h) // the probe budget is empty, as no op has come in
@@ -904,7 +905,7 @@
 	submitOp(g, 0, 2, boundedRead)
 	submitOp(g, 0, 3, boundedRead)
 	wantActions(t, h, "send 1 to 1", "send 2 to 2", "send 3 to 3")
-	g.backOff(0, g.servers[2], Silence, true)
+	g.backOff(0, g.servers[2], ReasonSilence, true)
 	g.Rumour(0, 2, 0)
 	if g.servers[2].usable() || !g.servers[1].usable() || !g.servers[3].usable() {
 		t.Error("got a change of the usable servers by a rumour or its end, want none")
@@ -948,8 +949,8 @@
 			g.Rumour(0, 2, 1.5)
 			g.Rumour(0, 1, 1.5)
 		}
-		g.backOff(0, g.servers[2], Unreachable, false)
-		g.backOff(0, g.servers[1], Unreachable, false)
+		g.backOff(0, g.servers[2], ReasonUnreachable, false)
+		g.backOff(0, g.servers[1], ReasonUnreachable, false)
 		if g.servers[2].usable() == rumoured || !g.servers[1].usable() {
 			t.Errorf("rumoured %v: got replica usable %v, primary %v, want the replica only without rumour",
 				rumoured, g.servers[2].usable(), g.servers[1].usable())
@@ -1011,3 +1012,22 @@
 		t.Errorf("got troubles %q, want %q", h.troubles, want)
 	}
 }
+
+// The log said "server set aside" without naming the server or the reason.
+func TestDecisionsAreReportedWithServerAndReason(t *testing.T) {
+	g, h := newTestGateway(nil)
+	h.decided = nil
+	g.backOff(0, g.servers[2], ReasonSilence, true)
+	for n := range time.Duration(probesToReturn) {
+		g.ProbeAnswer(n*ms, 2, Acked, ms)
+	}
+	submitOp(g, 30*ms, 7, anyRead)
+	wantActions(t, h, "send 7 to 2")
+	g.Answer(40*ms, 7, 0, 2, ServerError, ms, false, RoleUnknown, LongPast)
+	g.Stop(50 * ms)
+	want := []Event{{ServerSetAside, 2, 0, ReasonSilence}, {ServerReturned, 2, 0, NoReason},
+		{OpRetried, 3, 7, ReasonServerError}, {OpGivenUp, 0, 7, ReasonStopping}}
+	if !slices.Equal(h.decided, want) {
+		t.Errorf("got %+v, want %+v", h.decided, want)
+	}
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -60,8 +60,8 @@
 	Forget(server uint32)
 	// Trouble reports a symptom that the gateway itself has seen of a server, or with NoTrouble its end.
 	Trouble(server uint32, t Trouble)
-	// Log writes a line to the log.
-	Log(line string)
+	// Decided reports a decision for the log.
+	Decided(e Event)
 }
 
 // Effect says whether an op may run again.
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -252,6 +252,7 @@
 	defer cancelWork()
 
 	dispatcher := dispatch.New(clock, counts)
+	dispatcher.SetServerIDs(names.ID)
 	gossip, err := newGossip(settings, platform.Name, clock, dispatcher, names)
 	if err != nil {
 		return errors.Join(err, listener.Close())
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -20,6 +20,7 @@
 
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
+	"gorsewell/internal/eventlog"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/membudget"
 	"gorsewell/internal/pgwire"
@@ -71,6 +72,7 @@
 	clock      exchange.Clock
 	dispatcher exchange.Dispatcher
 	counts     *counters.Set
+	events     *eventlog.Log
 	settings   *deployment.Settings
 
 	// opTypes maps the name of each op type to its index.
@@ -102,7 +104,7 @@
 // New returns an acceptor for at most maxConns connections.
 func New(clock exchange.Clock, dispatcher exchange.Dispatcher, counts *counters.Set, settings *deployment.Settings,
 	maxConns int) *Acceptor {
-	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, settings: settings, opTypes: map[string]uint8{},
+	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, events: eventlog.New(), settings: settings, opTypes: map[string]uint8{},
 		budgets: newInputBudgets(settings.MemoryBytes), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
 		connClosed: make(chan struct{}, 1), openIDs: map[string]struct{}{}}
 	for i, name := range settings.OpTypeNames {
@@ -393,6 +395,7 @@
 	}
 	close(c.replies)
 	group.Wait()
+	c.logClose(reason)
 	switch { // closing a socket with unread bytes sends a reset, which could discard the last reply
 	case reason == errRejected:
 		c.net.CloseWrite()
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -15,9 +15,6 @@
 	bytes []byte
 	op    *exchange.Exchange
 
-	// opID is the client's id for the op.
-	opID string
-
 	answersCommand bool
 }
 
@@ -43,7 +40,7 @@
 	for r := range c.replies {
 		if r.op != nil {
 			<-r.op.Done
-			c.acceptor.releaseID(r.opID)
+			c.acceptor.releaseID(r.op.ClientID)
 			r.bytes = finalReply(r.op)
 		}
 		// A client gets as long to read a reply as a server gets to accept a connection, or longer until its op is due.
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"log/slog"
 	"os"
 	"slices"
 	"time"
@@ -359,7 +360,7 @@
 	}
 	c.sentCommand.Store(true)
 	now := c.acceptor.clock.Now()
-	op := &exchange.Exchange{Statement: s, OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
+	op := &exchange.Exchange{Statement: s, ClientID: string(s.ID), OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
 		Deadline: now + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
 		Target:   c.acceptor.settings.OpTypes[opType].Target, MinPosition: choice.LongPast, Memory: memory,
 		Done: make(chan struct{})}
@@ -368,13 +369,14 @@
 	}
 	c.openOps = append(slices.DeleteFunc(c.openOps, (*exchange.Exchange).IsDone), op)
 	c.acceptor.dispatcher.Submit(op)
-	c.enqueue(reply{op: op, opID: string(s.ID), answersCommand: true})
+	c.enqueue(reply{op: op, answersCommand: true})
 	return true, nil
 }
 
 // rejectBusy replies to a command for which there is no memory. The connection stays open.
 func (c *conn) rejectBusy() error {
 	c.acceptor.counts.CommandsSkipped.Add(1)
+	c.logEvent("command_refused", slog.String("code", "53300"), slog.String("reason", "no memory"))
 	c.enqueueCommandReply(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "53300", errNoMemory.Error(), "")))
 	return nil
 }
@@ -382,6 +384,7 @@
 // rejectQuery replies to a well-formed command that is not a valid op. The connection stays open.
 func (c *conn) rejectQuery(code, message string) error {
 	c.acceptor.counts.Unusable.Add(1)
+	c.logEvent("command_refused", slog.String("code", code), slog.String("reason", message))
 	c.enqueueCommandReply(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", code, message, "")))
 	return nil
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -12,48 +12,49 @@
 	"gorsewell/internal/invariant"
 )
 
-// sendEndNames holds the log names of the counters of ended sends, by their result.
-var sendEndNames = [...]string{
-	choice.Acked:        "send_acked",
-	choice.ServerError:  "send_error",
-	choice.ServerFull:   "send_full",
-	choice.TimedOut:     "send_timed_out",
-	choice.NoConnection: "send_no_connection",
-	choice.Reset:        "send_reset",
-	choice.Cancelled:    "send_cancelled",
-	choice.NotSent:      "send_not_sent",
-	choice.Declined:     "send_missed",
-}
+// sendEnds are the results of sends, in the order of their counters.
+var sendEnds = [...]choice.Result{choice.Acked, choice.ServerError, choice.ServerFull, choice.TimedOut, choice.NoConnection,
+	choice.Reset, choice.Cancelled, choice.NotSent, choice.Declined}
 
 // Set holds the counters of one gateway. The zero value is ready to use. The names in the log are derived from the
 // names of the fields.
 type Set struct {
-	Taken            atomic.Int64                    // ops received from clients
-	Acked            atomic.Int64                    // ops that ended with an ack
-	BusyReplied      atomic.Int64                    // ops that ended with a busy reply
-	Errored          atomic.Int64                    // ops that ended with an error
-	Left             atomic.Int64                    // ops that ended because the client disconnected
-	Held             atomic.Int64                    // ops that have not ended yet
-	Sent             atomic.Int64                    // sends that were written completely to a server
-	SendEnds         [len(sendEndNames)]atomic.Int64 // ended sends by choice.Result
-	Probes           atomic.Int64                    // probes requested by the decision module
-	ProbesAcked      atomic.Int64                    // probes that were acked
-	ServerConns      atomic.Int64                    // server connections opened
-	ServerReused     atomic.Int64                    // uses of an idle server connection for a send or a probe
-	ServerBroken     atomic.Int64                    // server connections that ended in a send or probe, or while idle
-	ServerRefused    atomic.Int64                    // server connections that could not be established
-	ClientConns      atomic.Int64                    // client connections accepted
-	ClientRefused    atomic.Int64                    // client connections turned away
-	ClientIdleClosed atomic.Int64                    // idle client connections closed to make room for new ones
-	ClientOpen       atomic.Int64                    // client connections that are open now
-	ServerOpen       atomic.Int64                    // server connections that are open now
-	Malformed        atomic.Int64                    // client connections closed because their data could not be parsed
-	Unusable         atomic.Int64                    // queries without a usable comment, of unknown op type, or too long
-	MalformedAnswers atomic.Int64                    // server messages that could not be parsed or were not expected
-	CommandsSkipped  atomic.Int64                    // commands of clients for which there was no memory
-	AnswersDelayed   atomic.Int64                    // long server messages that had to wait for memory
-	Lists            atomic.Int64                    // calls of discovery that succeeded
-	ListsFailed      atomic.Int64                    // calls of discovery that failed
+	Taken            atomic.Int64                            // ops received from clients
+	Acked            atomic.Int64                            // ops that ended with an ack
+	BusyReplied      atomic.Int64                            // ops that ended with a busy reply
+	Errored          atomic.Int64                            // ops that ended with an error
+	Left             atomic.Int64                            // ops that ended because the client disconnected
+	Held             atomic.Int64                            // ops that have not ended yet
+	Sent             atomic.Int64                            // sends that were written completely to a server
+	SendEnds         [len(sendEnds)]atomic.Int64             // ended sends by choice.Result
+	Probes           atomic.Int64                            // probes requested by the decision module
+	ProbesAcked      atomic.Int64                            // probes that were acked
+	ServerConns      atomic.Int64                            // server connections opened
+	ServerReused     atomic.Int64                            // uses of an idle server connection for a send or a probe
+	ServerBroken     atomic.Int64                            // server connections that ended in a send or probe, or while idle
+	ServerRefused    atomic.Int64                            // server connections that could not be established
+	ClientConns      atomic.Int64                            // client connections accepted
+	ClientRefused    atomic.Int64                            // client connections turned away
+	ClientIdleClosed atomic.Int64                            // idle client connections closed to make room for new ones
+	ClientOpen       atomic.Int64                            // client connections that are open now
+	ServerOpen       atomic.Int64                            // server connections that are open now
+	Malformed        atomic.Int64                            // client connections closed because their data could not be parsed
+	Unusable         atomic.Int64                            // queries without a usable comment, of unknown op type, or too long
+	MalformedAnswers atomic.Int64                            // server messages that could not be parsed or were not expected
+	CommandsSkipped  atomic.Int64                            // commands of clients for which there was no memory
+	AnswersDelayed   atomic.Int64                            // long server messages that had to wait for memory
+	Lists            atomic.Int64                            // calls of discovery that succeeded
+	ListsFailed      atomic.Int64                            // calls of discovery that failed
+	GivenUp          [len(choice.GiveUpReasons)]atomic.Int64 // ops that the decision module gave up, by choice.GiveUpReasons
+}
+
+// CountGivenUp counts an op that the decision module gave up.
+func (s *Set) CountGivenUp(reason choice.Reason) {
+	for i, r := range choice.GiveUpReasons {
+		if r == reason {
+			s.GivenUp[i].Add(1)
+		}
+	}
 }
 
 // Attrs returns all counters as attributes of a log line, in the order of their declaration.
@@ -63,9 +64,13 @@
 		switch c := v.Field(i).Addr().Interface().(type) {
 		case *atomic.Int64:
 			all = append(all, slog.Int64(snakeCase(v.Type().Field(i).Name), c.Load()))
-		case *[len(sendEndNames)]atomic.Int64:
-			for end, name := range sendEndNames {
-				all = append(all, slog.Int64(name, c[end].Load()))
+		case *[len(sendEnds)]atomic.Int64:
+			for _, end := range sendEnds {
+				all = append(all, slog.Int64("send_"+end.String(), c[end].Load()))
+			}
+		case *[len(choice.GiveUpReasons)]atomic.Int64:
+			for i, reason := range choice.GiveUpReasons {
+				all = append(all, slog.Int64("given_up_"+reason.String(), c[i].Load()))
 			}
 		}
 	}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -157,7 +157,7 @@
 func (noopHost) CloseIdle(uint32)                   {}
 func (noopHost) Forget(uint32)                      {}
 func (noopHost) Trouble(uint32, choice.Trouble)     {}
-func (noopHost) Log(string)                         {}
+func (noopHost) Decided(choice.Event)               {}
 
 // Whatever settings Read accepts, the decision module must not panic with them.
 func FuzzSettings(f *testing.F) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
 	"gorsewell/choice"
 	"gorsewell/internal/counters"
+	"gorsewell/internal/eventlog"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/invariant"
 )
@@ -64,6 +66,8 @@
 	discovery Discovery
 	gossip    Gossip // nil if gossip is disabled
 	counts    *counters.Set
+	opEvents  *eventlog.Log
+	serverID  func(server uint32) string
 
 	mu          sync.Mutex // guards every call of the module, and the fields below
 	gateway     *choice.Gateway
@@ -83,7 +87,8 @@
 
 // New returns a Dispatch that has to be started with Start once the other components exist.
 func New(clock exchange.Clock, counts *counters.Set) *Dispatch {
-	return &Dispatch{clock: clock, counts: counts, table: map[uint32]*entry{},
+	return &Dispatch{clock: clock, counts: counts, opEvents: eventlog.New(),
+		serverID: func(server uint32) string { return strconv.FormatUint(uint64(server), 16) }, table: map[uint32]*entry{},
 		timers: map[uint32]time.Duration{}, wakeEarlier: make(chan struct{}, 1)}
 }
 
@@ -219,6 +224,11 @@
 	now := d.now()
 	invariant.Check(x.InFlight, "a send ends exactly once")
 	x.InFlight = false
+	if result.Result != choice.Acked {
+		d.opEvents.Info("send_ended", slog.String("id", x.ClientID), slog.Int("send", int(number)),
+			slog.String("server", d.serverID(server)), slog.String("result", result.Result.String()),
+			slog.Duration("took", result.Took))
+	}
 	if result.Result == choice.Acked && d.gossip != nil && result.Took <= x.Target {
 		d.gossip.Acked(server, now-result.Took)
 	}
@@ -250,6 +260,9 @@
 	}
 }
 
+// SetServerIDs sets the function that returns the id of a server in the list. Without it the log has numbers.
+func (d *Dispatch) SetServerIDs(id func(server uint32) string) { d.serverID = id }
+
 // SetGossip enables gossip with other gateways. It must be called before Start, if at all.
 func (d *Dispatch) SetGossip(g Gossip) { d.gossip = g }
 
@@ -335,4 +348,22 @@
 	}
 }
 
-func (d *Dispatch) Log(line string) { slog.Info("decision", "what", line) }
+// Decided logs a decision: each one about a server, and those about single ops at a limited rate.
+func (d *Dispatch) Decided(e choice.Event) {
+	what := slog.String("what", e.Kind.String())
+	reason := slog.String("reason", e.Reason.String())
+	if !e.Kind.ConcernsOp() {
+		slog.LogAttrs(context.Background(), slog.LevelInfo, "decision", what, slog.String("server", d.serverID(e.Server)), reason)
+		return
+	}
+	attributes := []slog.Attr{what, reason}
+	if x := d.table[e.Op]; x != nil {
+		attributes = append(attributes, slog.String("id", x.ClientID), slog.Int("sends", int(x.sends)))
+	}
+	if e.Kind == choice.OpGivenUp {
+		d.counts.CountGivenUp(e.Reason)
+	} else {
+		attributes = append(attributes, slog.String("server", d.serverID(e.Server)))
+	}
+	d.opEvents.Info("decision", attributes...)
+}
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -539,8 +539,12 @@
 	}
 }
 
-// Log counts a line that the policy logs.
-func (g *gateway) Log(line string) { g.sim.result.Logs[line]++ }
+// Decided counts the policy's decisions about servers.
+func (g *gateway) Decided(e choice.Event) {
+	if !e.Kind.ConcernsOp() {
+		g.sim.result.Logs[e.Kind.String()]++
+	}
+}
 
 // deliverList hands the server list, or its changes, to the policy.
 func (g *gateway) deliverList(scope choice.ListScope, entries []listEntry) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,7 +32,8 @@
 // fields below it belong to the Dispatcher.
 type Exchange struct {
 	Statement   Statement
-	OpType      uint8 // index of the op type in the settings
+	ClientID    string // the client's id for the op
+	OpType      uint8  // index of the op type in the settings
 	Group       uint16
 	Session     uint64
 	IsRetry     bool          // the client has tried the same op before
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -157,5 +157,9 @@
 	bigEndian.PutUint32(in.appendAction(actionCloseIdle)[3:], server)
 }
 
-// Log implements choice.Host.
-func (in *instance) Log(line string) { in.appendText(actionLog, line) }
+// Decided implements choice.Host. The simulator's log gets decisions about servers only.
+func (in *instance) Decided(e choice.Event) {
+	if !e.Kind.ConcernsOp() {
+		in.appendText(actionLog, e.Kind.String())
+	}
+}
