Input of clients is processed in turns, bounded in time and fair

What callers saw: answers late or never beside clients that send at full speed. An op's time counts from the read that completed its command. The floods run in a process of their own now: 64 of them in the test's process delayed the test itself.

--- a/choice/event.go
+++ b/choice/event.go
@@ -38,17 +38,17 @@
 
 // The reasons. Those from ReasonServerError on are the results of the send before.
 const (
-	NoReason             Reason = iota
-	ReasonSilence               // a server's answers are overdue
-	ReasonRumouredSilence       // the same, and other gateways report the server
-	ReasonUnreachable           // no connection, a reset, or a probe without an answer
-	ReasonFailing               // a server answered with an error what another one acked
-	ReasonFull                  // a server turned ops away
-	ReasonStopping              // the process is about to end
-	ReasonNoServers             // no server of the op's group is listed
-	ReasonFailsEverywhere       // two servers answered the op with an error
-	ReasonNoTimeLeft            // a send could no longer earn anything
-	ReasonNoSendAllowed         // the op may not be sent again
+	NoReason              Reason = iota
+	ReasonSilence                // a server's answers are overdue
+	ReasonRumouredSilence        // the same, and other gateways report the server
+	ReasonUnreachable            // no connection, a reset, or a probe without an answer
+	ReasonFailing                // a server answered with an error what another one acked
+	ReasonFull                   // a server turned ops away
+	ReasonStopping               // the process is about to end
+	ReasonNoServers              // no server of the op's group is listed
+	ReasonFailsEverywhere        // two servers answered the op with an error
+	ReasonNoTimeLeft             // a send could no longer earn anything
+	ReasonNoSendAllowed          // the op may not be sent again
 	ReasonServerError
 	ReasonTimedOut
 	ReasonNotSent
--- /dev/null
+++ b/choice/input.go
@@ -0,0 +1,153 @@
+package choice
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// An InputScheduler decides whose input a gateway processes next, and when. It bounds the processor time that input
+// takes, whatever it consists of, and shares it fairly among connections, so that clients that send as fast as they can
+// do not delay the answers to others.
+//
+// Input is processed in turns, one at a time. A turn processes one command, or the bytes of one read that completed
+// none, and lasts until all that it has caused has run. The order is start-time fair queueing: each turn of a connection
+// begins, in virtual time, where its last one ended, or at the present virtual time if that is later. The earliest goes
+// first. So a connection that asks for few turns hardly waits for those that ask for many.
+//
+// Two time budgets limit turns, see the constants. The one for backlogged connections leaves the rest of the processor
+// to the work on servers and to connections whose clients wait for answers.
+//
+// Like a Gateway, it has no I/O, clock or goroutine of its own.
+type InputScheduler struct {
+	all         timeBudget // limits all turns
+	backlog     timeBudget // limits turns of backlogged connections
+	virtualTime uint64     // when the newest turn began, in turns
+	turnStart   time.Duration
+	inTurn      bool
+	waiting     []*InputFlow // in the order of their turns
+	unlimited   bool
+}
+
+const (
+	// inputShare is the part of the time that turns may take.
+	inputShare = 0.75
+
+	// backlogShare is the part of a core's time that turns of backlogged connections may take.
+	backlogShare = 0.4
+
+	// inputBurst is how much unused time a budget accumulates.
+	inputBurst = 10 * time.Millisecond
+
+	// maxInputDebt is the greatest debt of a budget after a turn that took long.
+	maxInputDebt = 5 * time.Millisecond
+)
+
+// InputFlow is the input of one connection. Its zero value is a connection that has had no turn.
+type InputFlow struct {
+	// Backlogged tells that the connection's next input had arrived before it was ready to process it.
+	Backlogged bool
+
+	start, finish uint64 // of the newest turn, in virtual time
+}
+
+// before reports whether the turn of a connection comes first. Of equal ones the one that has had less comes first.
+func (f *InputFlow) before(other *InputFlow) int {
+	return cmp.Or(cmp.Compare(f.start, other.start), cmp.Compare(f.finish, other.finish))
+}
+
+// NewInputScheduler returns the scheduler of a process that may use the given number of cores, 0 if that is not known.
+func NewInputScheduler(now time.Duration, cores float64) *InputScheduler {
+	if cores <= 0 || cores > 1 { // turns use one core at most
+		cores = 1
+	}
+	return &InputScheduler{all: newTimeBudget(now, inputShare), backlog: newTimeBudget(now, backlogShare*cores)}
+}
+
+// Request asks for a turn. If it returns true, the turn has begun; else Next returns the connection later.
+func (s *InputScheduler) Request(now time.Duration, f *InputFlow) bool {
+	f.start = max(s.virtualTime, f.finish)
+	if !s.inTurn && len(s.waiting) == 0 && s.timeUntilAllowed(now, f) == 0 {
+		s.begin(now, f)
+		return true
+	}
+	i, _ := slices.BinarySearchFunc(s.waiting, f, func(a, b *InputFlow) int { return cmp.Or(a.before(b), -1) })
+	s.waiting = slices.Insert(s.waiting, i, f)
+	return false
+}
+
+// Next begins the next turn if it may begin now and returns its connection. Otherwise it returns nil and how long to
+// wait before it is called again, 0 if no connection waits for anything but the end of a turn.
+func (s *InputScheduler) Next(now time.Duration) (*InputFlow, time.Duration) {
+	if s.inTurn || len(s.waiting) == 0 {
+		return nil, 0
+	}
+	f := s.waiting[0]
+	if wait := s.timeUntilAllowed(now, f); wait > 0 {
+		return nil, wait
+	}
+	s.waiting = slices.Delete(s.waiting, 0, 1)
+	s.begin(now, f)
+	return f, 0
+}
+
+// begin begins a turn.
+func (s *InputScheduler) begin(now time.Duration, f *InputFlow) {
+	s.inTurn, s.turnStart = true, now
+	s.virtualTime = max(s.virtualTime, f.start)
+	f.finish = f.start + 1
+}
+
+// End ends the turn that has begun.
+func (s *InputScheduler) End(now time.Duration) {
+	s.inTurn = false
+	s.all.use(now, now-s.turnStart)
+	s.backlog.use(now, now-s.turnStart)
+}
+
+// timeUntilAllowed returns how long the budgets keep a connection from its turn.
+func (s *InputScheduler) timeUntilAllowed(now time.Duration, f *InputFlow) time.Duration {
+	if s.unlimited {
+		return 0
+	}
+	wait := s.all.timeUntilPositive(now)
+	if f.Backlogged {
+		wait = max(wait, s.backlog.timeUntilPositive(now))
+	}
+	return wait
+}
+
+// LiftLimits ends the limits on time. The order stays.
+func (s *InputScheduler) LiftLimits() { s.unlimited = true }
+
+// timeBudget is time that accumulates at a rate and is used up by turns.
+type timeBudget struct {
+	rate      float64 // time gained per time
+	left      time.Duration
+	updatedAt time.Duration
+}
+
+// newTimeBudget returns a full budget.
+func newTimeBudget(now time.Duration, rate float64) timeBudget {
+	return timeBudget{rate: rate, left: inputBurst, updatedAt: now}
+}
+
+// update adds what has accumulated.
+func (b *timeBudget) update(now time.Duration) {
+	gained := time.Duration(b.rate * float64(now-b.updatedAt))
+	b.left, b.updatedAt = min(b.left+gained, inputBurst), now
+}
+
+// use takes time off the budget.
+func (b *timeBudget) use(now, used time.Duration) {
+	b.update(now)
+	b.left = max(b.left-used, -maxInputDebt)
+}
+
+// timeUntilPositive returns how long it takes until the budget has time left.
+func (b *timeBudget) timeUntilPositive(now time.Duration) time.Duration {
+	if b.update(now); b.left > 0 {
+		return 0
+	}
+	return time.Duration(float64(1-b.left)/b.rate) + 1
+}
--- a/cmd/gorsewell/flood_test.go
+++ b/cmd/gorsewell/flood_test.go
@@ -1,14 +1,16 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
+	"os/exec"
+	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -56,18 +58,34 @@
 	}
 }
 
-// flood sends input of one kind on one connection at full speed until the context ends, and reads what it is sent.
-func flood(ctx context.Context, addr string, kind floodKind, client int) {
+// runAsFlood is an environment variable. If it is set, the test binary runs as flooding clients. Its value is an address, the
+// name of a kind of flood and a number of clients, each followed by a slash.
+const runAsFlood = "GORSEWELL_TEST_FLOOD"
+
+// floodFromEnvironment runs the flooding clients that the value of runAsFlood describes, until the process is killed.
+func floodFromEnvironment(value string) {
+	runtime.GOMAXPROCS(2) // so that the rest of the test is not delayed
+	fields := strings.Split(value, "/")
+	clients, _ := strconv.Atoi(fields[2])
+	var running sync.WaitGroup
+	for _, kind := range floodKinds() {
+		for n := 0; kind.name == fields[1] && n < clients; n++ {
+			running.Go(func() { flood(fields[0], kind, n) })
+		}
+	}
+	running.Wait()
+}
+
+// flood sends input of one kind on one connection at full speed and reads what it is sent.
+func flood(addr string, kind floodKind, client int) {
 	c, err := standin.Dial(addr)
 	if err != nil {
 		return
 	}
 	defer c.Close()
-	context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	var reading sync.WaitGroup
-	reading.Go(func() { io.Copy(io.Discard, c.Conn) })
-	defer reading.Wait()
-	for n := 0; ctx.Err() == nil; {
+	c.SetDeadline(time.Time{})
+	go io.Copy(io.Discard, c.Conn)
+	for n := 0; ; {
 		var batch []byte
 		for len(batch) < 32<<10 {
 			batch = append(batch, kind.next(client, n)...)
@@ -79,6 +97,21 @@
 	}
 }
 
+// startFlood starts a process with clients that flood a gateway until the test ends or the process is killed.
+func startFlood(t *testing.T, addr string, kind floodKind, clients int) *os.Process {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s/%s/%d", runAsFlood, addr, kind.name, clients))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	return cmd.Process
+}
+
 // usualResult is what became of the commands of usual clients.
 type usualResult struct {
 	latencies                   []time.Duration
@@ -174,15 +207,10 @@
 					time.Sleep(time.Millisecond)
 					return standin.Row("v", role, time.Now().UnixMilli()), true
 				})
-				ctx, cancel := context.WithCancel(t.Context())
-				var floods sync.WaitGroup
-				for n := range clients {
-					floods.Go(func() { flood(ctx, addr, kind, n) })
-				}
+				startFlood(t, addr, kind, clients)
 				usualClients(addr, 24, time.Second, 40*time.Millisecond).check(t)
-				cmd.Process.Signal(syscall.SIGUSR1)
-				cancel()
-				floods.Wait()
+				cmd.Process.Kill()
+				cmd.Wait()
 				if log := out.String(); strings.Contains(log, "set aside") || strings.Contains(log, "discovery_failed") {
 					t.Errorf("the gateway blamed servers or discovery; log %s", log)
 				}
--- a/cmd/gorsewell/main_test.go
+++ b/cmd/gorsewell/main_test.go
@@ -27,6 +27,10 @@
 		main()
 		return
 	}
+	if clients := os.Getenv(runAsFlood); clients != "" {
+		floodFromEnvironment(clients)
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -211,6 +211,7 @@
 	if err != nil {
 		return err
 	}
+	deployed.Cores = platform.Limits.Cores
 	deployed.MemoryBytes = platform.Limits.MemoryMB << 20
 	deployed.MaxMessageBytes = int(deployed.MemoryBytes / messageMemoryDivisor)
 	runtime.GOMAXPROCS(max(1, int(platform.Limits.Cores)))
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -84,6 +85,8 @@
 	// maxConns is the maximum number of connections that stay open. Up to overflowConns more are accepted.
 	maxConns int64
 
+	turns *turns
+
 	// stopping is true from the second phase of a planned stop on, see stop.go.
 	stopping atomic.Bool
 
@@ -105,7 +108,7 @@
 func New(clock exchange.Clock, dispatcher exchange.Dispatcher, counts *counters.Set, settings *deployment.Settings,
 	maxConns int) *Acceptor {
 	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, events: eventlog.New(), settings: settings, opTypes: map[string]uint8{},
-		budgets: newInputBudgets(settings.MemoryBytes), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
+		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
 		connClosed: make(chan struct{}, 1), openIDs: map[string]struct{}{}}
 	for i, name := range settings.OpTypeNames {
 		a.opTypes[name] = uint8(i)
@@ -127,7 +130,10 @@
 	l.Close()
 	a.beginClosing()
 	untilOpsEnd := a.longestOpTimeout() + killGrace - stopAcceptPeriod - finalReplyTime
-	endOps := time.AfterFunc(untilOpsEnd, a.dispatcher.Stop)
+	endOps := time.AfterFunc(untilOpsEnd, func() {
+		a.dispatcher.Stop()
+		a.turns.liftLimits()
+	})
 	defer endOps.Stop()
 	limitReads := time.AfterFunc(untilOpsEnd+finalReadTime, a.limitReads)
 	defer limitReads.Stop()
@@ -179,9 +185,11 @@
 			netConn.Close()
 			continue
 		}
-		c := &conn{acceptor: a, net: netConn, readBuffer: pgwire.ReadBuffer{MaxMessage: a.settings.MaxMessageBytes},
-			replies: make(chan reply, maxPendingCommands+extraReplies)}
-		c.lastActivity.Store(int64(a.clock.Now()))
+		c, err := a.newConn(netConn)
+		if err != nil { // it is closed
+			a.counts.ClientOpen.Add(-1)
+			continue
+		}
 		a.mu.Lock()
 		a.conns[c] = struct{}{}
 		a.mu.Unlock()
@@ -325,8 +333,15 @@
 type conn struct {
 	acceptor   *Acceptor
 	net        *net.TCPConn
+	raw        syscall.RawConn
 	readBuffer pgwire.ReadBuffer
 
+	// flow is the connection's input in the order of turns.
+	flow *flow
+
+	// readAt is the time of the last read that returned bytes.
+	readAt time.Duration
+
 	// replies holds the replies in the order of their commands.
 	replies chan reply
 
@@ -376,6 +391,19 @@
 	readingDone atomic.Bool
 }
 
+// newConn returns a connection that has to be served by run.
+func (a *Acceptor) newConn(netConn *net.TCPConn) (*conn, error) {
+	raw, err := netConn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{acceptor: a, net: netConn, raw: raw, flow: newFlow(),
+		readBuffer: pgwire.ReadBuffer{MaxMessage: a.settings.MaxMessageBytes},
+		replies:    make(chan reply, maxPendingCommands+extraReplies)}
+	c.lastActivity.Store(int64(a.clock.Now()))
+	return c, nil
+}
+
 // run serves the connection until either side closes it. Replies to commands that were read are written before that,
 // unless the client has disconnected.
 func (c *conn) run() {
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -323,7 +323,10 @@
 		if err := disconnect(clientEnd.(*net.TCPConn)); err != nil { // before anything is read
 			t.Fatal(err)
 		}
-		c := &conn{acceptor: a, net: acceptedEnd.(*net.TCPConn), replies: make(chan reply, maxPendingCommands+extraReplies)}
+		c, err := a.newConn(acceptedEnd.(*net.TCPConn))
+		if err != nil {
+			t.Fatal(err)
+		}
 		a.counts.ClientOpen.Add(1)
 		waitUntil(t, "the disconnect has arrived", c.clientClosed)
 		c.run()
--- a/internal/clientside/memory.go
+++ b/internal/clientside/memory.go
@@ -200,7 +200,7 @@
 // skipMessage reads and discards the message at the front of the read buffer and returns errNoMemory.
 func (c *conn) skipMessage(size int) error {
 	for c.readBuffer.Skip(size); c.readBuffer.Skipping(); {
-		if err := c.fill(); err != nil {
+		if err := c.fillInTurn(); err != nil {
 			return err
 		}
 	}
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -51,9 +51,13 @@
 		case m.Type != pgwire.Query: // no other command is supported
 			return c.reject(pgwire.ErrMalformed)
 		}
-		if err := c.handleQuery(m.Body); err != nil {
+		c.acceptor.turns.await(c.flow)
+		err = c.handleQuery(m.Body)
+		c.acceptor.turns.end()
+		if err != nil {
 			return c.reject(err)
 		}
+		c.flow.Backlogged = true // until a read has to wait
 		c.releaseInput()
 	}
 }
@@ -119,7 +123,7 @@
 		case size == 0 && !c.ensureSpace(pgwire.StartupSize(c.readBuffer.Bytes())):
 			return c.rejectConnection()
 		case size == 0:
-			if err := c.fill(); err != nil {
+			if err := c.fillInTurn(); err != nil {
 				return err
 			}
 		case kind == pgwire.StartupEncryption:
@@ -181,7 +185,7 @@
 		size := pgwire.MessageSize(c.readBuffer.Bytes())
 		switch {
 		case c.readBuffer.Holds(size):
-			err = c.fill()
+			err = c.fillInTurn()
 		case c.readBuffer.Bytes()[0] != pgwire.Query: // no other command can be long
 			err = pgwire.ErrMalformed
 		case !c.ensureSpace(size):
@@ -215,6 +219,19 @@
 	return !c.inputDeadline.IsZero() && !time.Now().Before(c.inputDeadline)
 }
 
+// fillInTurn reads more bytes. If these do not complete a message, it waits for a turn, as there would be no other limit to
+// how much is read.
+func (c *conn) fillInTurn() error {
+	if err := c.fill(); err != nil {
+		return err
+	}
+	if size := pgwire.MessageSize(c.readBuffer.Bytes()); size == 0 || size > len(c.readBuffer.Bytes()) {
+		c.acceptor.turns.await(c.flow)
+		c.acceptor.turns.end()
+	}
+	return nil
+}
+
 // fill reads more bytes. A read that times out is a sign that the connection has to be closed, by eviction, because of
 // the read timeout or during a planned stop. Then fill returns errClosing if no reply is pending and no command arrives
 // within a short grace period. If replies are pending it goes on reading.
@@ -265,11 +282,12 @@
 // readOnce reads n bytes into the given free space of the read buffer. It returns errClientGone for any error but a
 // timeout.
 func (c *conn) readOnce(space []byte) (n int, err error) {
-	n, err = c.net.Read(space)
+	n, err = c.readSocket(space)
 	c.readBuffer.Filled(n)
 	switch {
 	case n > 0:
-		c.lastActivity.Store(int64(c.acceptor.clock.Now()))
+		c.readAt = c.acceptor.clock.Now()
+		c.lastActivity.Store(int64(c.readAt))
 		c.evicting.Store(false)
 		return n, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -359,9 +377,8 @@
 		return false, errClientGone
 	}
 	c.sentCommand.Store(true)
-	now := c.acceptor.clock.Now()
 	op := &exchange.Exchange{Statement: s, ClientID: string(s.ID), OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
-		Deadline: now + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
+		Deadline: c.readAt + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
 		Target:   c.acceptor.settings.OpTypes[opType].Target, MinPosition: choice.LongPast, Memory: memory,
 		Done: make(chan struct{})}
 	if position, ok := c.acceptor.clock.FromUnix(s.After); ok {
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -2,19 +2,40 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 
 	"golang.org/x/sys/unix"
 )
 
+// readSocket reads into the given space and records whether it had to wait for input.
+func (c *conn) readSocket(space []byte) (n int, err error) {
+	c.flow.Backlogged = true
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		for err = unix.EINTR; err == unix.EINTR; {
+			n, err = unix.Read(int(fd), space)
+		}
+		if err == unix.EAGAIN {
+			c.flow.Backlogged = false
+			return false
+		}
+		return true
+	})
+	switch {
+	case rawErr != nil:
+		return 0, rawErr
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // awaitClientClose waits, without reading, until the client closes its end and returns true. It returns false when the
 // read deadline passes.
 func (c *conn) awaitClientClose() (gone bool) {
-	rawConn, err := c.net.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = rawConn.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		gone = peerClosed(fd)
 		return gone
 	})
@@ -23,11 +44,7 @@
 
 // clientClosed reports whether the client has closed its end, even if there are unread bytes before that.
 func (c *conn) clientClosed() (gone bool) {
-	rawConn, err := c.net.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = rawConn.Control(func(fd uintptr) { gone = peerClosed(fd) })
+	err := c.raw.Control(func(fd uintptr) { gone = peerClosed(fd) })
 	return gone || err != nil
 }
 
@@ -36,11 +53,7 @@
 
 // hasUnreadInput reports whether a read would not wait: the client's bytes, or the end of its stream, have arrived.
 func (c *conn) hasUnreadInput() (ready bool) {
-	rawConn, err := c.net.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = rawConn.Control(func(fd uintptr) { ready = poll(fd, unix.POLLIN) })
+	err := c.raw.Control(func(fd uintptr) { ready = poll(fd, unix.POLLIN) })
 	return ready || err != nil
 }
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -99,6 +99,7 @@
 	IdleTimeout     time.Duration // after which a server closes an idle connection
 	DrainGrace      time.Duration // after the start of a drain, during which a server may still get new ops
 	MaxMessageBytes int           // limit for one message of a client or server; 0: the limit of the protocol
+	Cores           float64       // cores that the process may use; 0: not known
 	MemoryBytes     int64         // memory that the process may use; 0: not known
 }
 
