Connections without backlog lead by eight turns

A round of turns of 64 backlogged connections takes longer than the time between two commands of the occasional one, which then waited for the rest of the round.

--- a/choice/input.go
+++ b/choice/input.go
@@ -13,7 +13,8 @@
 // Input is processed in turns, one at a time. A turn processes one command, or the bytes of one read that completed
 // none, and lasts until all that it has caused has run. The order is start-time fair queueing: each turn of a connection
 // begins, in virtual time, where its last one ended, or at the present virtual time if that is later. The earliest goes
-// first. So a connection that asks for few turns hardly waits for those that ask for many.
+// first, with a lead for connections that are not backlogged. So a connection that asks for few turns hardly waits for
+// those that ask for many.
 //
 // Two time budgets limit turns, see the constants. The one for backlogged connections leaves the rest of the processor
 // to the work on servers and to connections whose clients wait for answers.
@@ -22,7 +23,7 @@
 type InputScheduler struct {
 	all         timeBudget // limits all turns
 	backlog     timeBudget // limits turns of backlogged connections
-	virtualTime uint64     // when the newest turn began, in turns
+	virtualTime int64      // when the newest turn began, in turns
 	turnStart   time.Duration
 	inTurn      bool
 	waiting     []*InputFlow // in the order of their turns
@@ -36,6 +37,10 @@
 	// backlogShare is the part of a core's time that turns of backlogged connections may take.
 	backlogShare = 0.4
 
+	// occasionalLead is by how many turns a connection that is not backlogged comes earlier: it may have so many while each
+	// of the backlogged connections has one.
+	occasionalLead = 8
+
 	// inputBurst is how much unused time a budget accumulates.
 	inputBurst = 10 * time.Millisecond
 
@@ -48,12 +53,20 @@
 	// Backlogged tells that the connection's next input had arrived before it was ready to process it.
 	Backlogged bool
 
-	start, finish uint64 // of the newest turn, in virtual time
+	start, finish int64 // of the newest turn, in virtual time
+}
+
+// rank is the place of a waiting connection in the order of turns, the lowest first.
+func (f *InputFlow) rank() int64 {
+	if f.Backlogged {
+		return f.start
+	}
+	return f.start - occasionalLead
 }
 
-// before reports whether the turn of a connection comes first. Of equal ones the one that has had less comes first.
-func (f *InputFlow) before(other *InputFlow) int {
-	return cmp.Or(cmp.Compare(f.start, other.start), cmp.Compare(f.finish, other.finish))
+// compareRanks compares the ranks of two connections. Of equal ones the one that has had less comes first.
+func compareRanks(a, b *InputFlow) int {
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.finish, b.finish))
 }
 
 // NewInputScheduler returns the scheduler of a process that may use the given number of cores, 0 if that is not known.
@@ -71,7 +84,7 @@
 		s.begin(now, f)
 		return true
 	}
-	i, _ := slices.BinarySearchFunc(s.waiting, f, func(a, b *InputFlow) int { return cmp.Or(a.before(b), -1) })
+	i, _ := slices.BinarySearchFunc(s.waiting, f, func(a, b *InputFlow) int { return cmp.Or(compareRanks(a, b), -1) })
 	s.waiting = slices.Insert(s.waiting, i, f)
 	return false
 }
