Connections that pipeline share 128 open commands; an arrival is a struct

Each connection that has several commands open may have 128 divided by the number of these, 1 to 16; answers come in order, so the others wait for their own. The decision module divides the value rate of a held op by the open ops of its connection. Gateway.Op takes a documented struct.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -132,6 +132,7 @@
 	opType          *opType
 	group           *group
 	session         uint64
+	openBefore      int           // open ops that its connection had when it came in
 	admissionDraw   float64       // random, from 0 to 1: it is admitted where at least this share of ops is
 	valueRate       float64       // value per unit of server time; sorts the held ops
 	targetEnd       time.Duration // when its latency target ends
@@ -274,21 +275,31 @@
 	return g
 }
 
-// Op handles a client's op that has come in. clientLeavesAt is the time at which its client stops waiting, writeAge the
-// age of the session's last write, 0 if it is not known. isRetry is true if the client marked the op as a retry.
-func (g *Gateway) Op(now time.Duration, id uint32, typeNumber uint8, session uint64, clientLeavesAt time.Duration,
-	groupID uint16, writeAge time.Duration, isRetry bool) {
+// Arrival is a client's op that has come in.
+type Arrival struct {
+	ID             uint32
+	OpType         uint8 // number of the op type
+	Session        uint64
+	ClientLeavesAt time.Duration // when its client stops waiting
+	Group          uint16
+	WriteAge       time.Duration // age of the session's last write, 0 if it is not known
+	IsRetry        bool          // its client marked it as a retry
+	OpenBefore     int           // open ops that its connection already has
+}
+
+// Op handles a client's op that has come in.
+func (g *Gateway) Op(now time.Duration, a Arrival) {
 	g.detectStall(now)
-	t := &g.opTypes[typeNumber]
-	o := &op{id: id, opType: t, group: cmp.Or(g.groups[groupID], &group{}), session: session, admissionDraw: g.random(),
-		minPosition: never, mayHaveRunAt: never, targetEnd: now + t.Target, holdEnd: now + t.Target/holdDivisor,
-		clientLeavesAt: clientLeavesAt, retriesEnd: now + t.Timeout}
+	t := &g.opTypes[a.OpType]
+	o := &op{id: a.ID, opType: t, group: cmp.Or(g.groups[a.Group], &group{}), session: a.Session, openBefore: a.OpenBefore,
+		admissionDraw: g.random(), minPosition: never, mayHaveRunAt: never, targetEnd: now + t.Target,
+		holdEnd: now + t.Target/holdDivisor, clientLeavesAt: a.ClientLeavesAt, retriesEnd: now + t.Timeout}
 	t.lastArrival, t.meanArrivalGap = now, t.meanArrivalGap+(now-t.lastArrival-t.meanArrivalGap)/averagingSamples
-	g.matchRetry(now, o, isRetry)
+	g.matchRetry(now, o, a.IsRetry)
 	switch t.Need {
 	case Session:
-		if g.writeAgeCarried && writeAge > 0 {
-			o.minPosition = now - writeAge + writeAge>>20 // the age was a float: keep its rounding on the safe side
+		if g.writeAgeCarried && a.WriteAge > 0 {
+			o.minPosition = now - a.WriteAge + a.WriteAge>>20 // the age was a float: keep its rounding on the safe side
 		} else if g.writeAgeCarried { // no write to see; where ages are not carried, only the primary is sure to have it
 			o.minPosition = LongPast
 		}
@@ -297,7 +308,7 @@
 	case Any:
 		o.minPosition = LongPast
 	}
-	g.ops[id] = o
+	g.ops[a.ID] = o
 	if g.stopped {
 		g.giveUp(now, o, ReasonStopping)
 		return
@@ -491,7 +502,8 @@
 	} else if s := g.chooseServer(now, o); s != nil && g.send(now, o, s) {
 		o.removeFromHeld()
 	} else if !o.held {
-		o.held, o.valueRate = true, o.opType.Value/float64(o.opType.meanAnswerTime())
+		// Ops that a connection sends at once share the place of one, so that they do not keep out those of other clients.
+		o.held, o.valueRate = true, o.opType.Value/float64(o.opType.meanAnswerTime())/float64(1+o.openBefore)
 		if now >= o.targetEnd-o.opType.meanAnswerTime() {
 			o.valueRate *= o.opType.LateValue
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -95,7 +95,7 @@
 // submitOp submits an op whose client waits for two seconds, without a stall of the gateway.
 func submitOp(g *Gateway, now time.Duration, id uint32, typeNumber uint8) {
 	g.lastTimerAt = now
-	g.Op(now, id, typeNumber, 0, now+2*time.Second, 0, 0, false)
+	g.Op(now, Arrival{ID: id, OpType: typeNumber, ClientLeavesAt: now + 2*time.Second})
 }
 
 // assess calls assessResult for a new op, without Answer around it.
@@ -114,7 +114,7 @@
 
 func TestSessionReadIsHeldThenSentToPrimary(t *testing.T) {
 	g, h := newTestGateway(nil)
-	g.Op(100*ms, 1, sessionRead, 9, 2*time.Second, 0, 50*ms, false)
+	g.Op(100*ms, Arrival{ID: 1, OpType: sessionRead, Session: 9, ClientLeavesAt: 2 * time.Second, WriteAge: 50 * ms})
 	wantActions(t, h) // no replica is known to have reached 50 ms
 	g.Timer(190*ms, 0)
 	wantActions(t, h)
@@ -124,7 +124,7 @@
 
 func TestReportedPositionReleasesHeldRead(t *testing.T) {
 	g, h := newTestGateway(nil)
-	g.Op(100*ms, 1, sessionRead, 9, 2*time.Second, 0, 50*ms, false)
+	g.Op(100*ms, Arrival{ID: 1, OpType: sessionRead, Session: 9, ClientLeavesAt: 2 * time.Second, WriteAge: 50 * ms})
 	g.Report(120*ms, 3, Replica, 60*ms)
 	g.Timer(120*ms, 0)
 	wantActions(t, h, "send 1 to 3")
@@ -219,7 +219,7 @@
 		for n := range uint32(20000) {
 			now += 20 * ms
 			g.lastTimerAt = now
-			g.Op(now, n, uint8(n%6), uint64(n), now+2*time.Second, uint16(n%7), 0, false)
+			g.Op(now, Arrival{ID: n, OpType: uint8(n % 6), Session: uint64(n), ClientLeavesAt: now + 2*time.Second, Group: uint16(n % 7)})
 			if o := g.ops[n]; o != nil && o.sentTo != nil {
 				g.Answer(now, n, 0, o.sentTo.id, Acked, ms, true, o.sentTo.role, now)
 			} else if o != nil {
@@ -264,7 +264,7 @@
 
 func TestOpOfUnknownGroupIsGivenUpAtOnce(t *testing.T) {
 	g, h := newTestGateway(nil)
-	g.Op(0, 1, anyRead, 0, 2*time.Second, 9, 0, false)
+	g.Op(0, Arrival{ID: 1, OpType: anyRead, ClientLeavesAt: 2 * time.Second, Group: 9})
 	wantActions(t, h, "busy 1")
 	if len(g.groups) != 1 || len(g.ops) != 0 {
 		t.Errorf("got %d groups and %d ops, want 1 and 0", len(g.groups), len(g.ops))
@@ -356,7 +356,7 @@
 func TestSessionReadWithoutWriteAgeGoesToPrimary(t *testing.T) {
 	g, h := newTestGateway(func(d *Deployment) { d.WriteAgeCarried = false })
 	g.lastTimerAt = 60 * ms
-	g.Op(60*ms, 2, sessionRead, 9, 2*time.Second, 0, 0, false)
+	g.Op(60*ms, Arrival{ID: 2, OpType: sessionRead, Session: 9, ClientLeavesAt: 2 * time.Second})
 	g.Timer(100*ms, 0)
 	wantActions(t, h)
 	g.Timer(160*ms, 0)
@@ -732,12 +732,12 @@
 		g, h := newTestGateway(c.change)
 		g.opTypes[anyRead].meanArrivalGap, g.opTypes[anyRead].lastArrival = 200*ms, 300*ms
 		g.lastTimerAt = 500 * ms
-		g.Op(500*ms, 1, anyRead, c.first, 3*time.Second, 0, 0, false)
+		g.Op(500*ms, Arrival{ID: 1, OpType: anyRead, Session: c.first, ClientLeavesAt: 3 * time.Second})
 		g.lastTimerAt = 900 * ms
 		g.Answer(900*ms, 1, 0, g.ops[1].sentTo.id, TimedOut, 400*ms, false, RoleUnknown, LongPast)
 		h.actions, g.lastTimerAt = nil, 900*ms+c.after
 		g.replicaCongestion[0], g.servers[2].limit = 0, 1
-		if g.Op(900*ms+c.after, 2, anyRead, c.second, 5*time.Second, 0, 0, c.isRetry); (h.actions[0] == "busy 2") != c.busy {
+		if g.Op(900*ms+c.after, Arrival{ID: 2, OpType: anyRead, Session: c.second, ClientLeavesAt: 5 * time.Second, IsRetry: c.isRetry}); (h.actions[0] == "busy 2") != c.busy {
 			t.Errorf("sessions %d and %d, %v later, marked %v: got %q, want the opposite",
 				c.first, c.second, c.after, c.isRetry, h.actions)
 		}
@@ -761,16 +761,16 @@
 func TestRetryOfAbandonedOpIsGivenUp(t *testing.T) {
 	for stayed, busy := range map[time.Duration]bool{100 * ms: true, 20 * ms: false} {
 		g, h := newTestGateway(func(d *Deployment) { d.OpTypes[anyRead].LateValue, d.RetriesUnmarked = 0, true })
-		g.Op(0, 1, anyRead, 9, 3*time.Second, 0, 0, false)
+		g.Op(0, Arrival{ID: 1, OpType: anyRead, Session: 9, ClientLeavesAt: 3 * time.Second})
 		g.ClientGone(stayed, 1)
 		h.actions, g.lastTimerAt = nil, stayed
-		if g.Op(stayed+ms, 2, anyRead, 9, 3*time.Second, 0, 0, false); (h.actions[0] == "busy 2") != busy {
+		if g.Op(stayed+ms, Arrival{ID: 2, OpType: anyRead, Session: 9, ClientLeavesAt: 3 * time.Second}); (h.actions[0] == "busy 2") != busy {
 			t.Errorf("client left after %v: got %q, want a busy reply only after 100 ms", stayed, h.actions)
 		}
 		for id := uint32(3); busy && id < 40; id++ {
 			now := time.Duration(id-2) * 100 * ms
 			h.actions, g.lastTimerAt = nil, now
-			g.Op(now, id, anyRead, 9, now+3*time.Second, 0, 0, false)
+			g.Op(now, Arrival{ID: id, OpType: anyRead, Session: 9, ClientLeavesAt: now + 3*time.Second})
 			if refused := h.actions[0] == fmt.Sprintf("busy %d", id); refused != (now < 2*time.Second) {
 				t.Fatalf("at %v: got %q, want a busy reply only before 2 s", now, h.actions)
 			} else if !refused {
@@ -787,7 +787,7 @@
 	g.servers[1].limit = 0
 	for id := range uint32(2) {
 		g.lastTimerAt = time.Second
-		g.Op(time.Second, id, freshRead, 0, 5*time.Second, 0, 0, id == 0)
+		g.Op(time.Second, Arrival{ID: id, OpType: freshRead, ClientLeavesAt: 5 * time.Second, IsRetry: id == 0})
 	}
 	if held := g.groupOrder[0].held; len(held) != 2 || held[0].id != 1 || held[1].valueRate >= held[0].valueRate/4 {
 		t.Errorf("got %d held ops, want 2: op 1, then the late op 0 with less than a quarter of its value", len(held))
@@ -860,7 +860,7 @@
 	if s := g.servers[1]; !s.usable() || s.overdue(1505*ms) {
 		t.Error("got the primary unusable or overdue after a stall of the gateway, want it usable")
 	}
-	g.Op(1505*ms, 2, writeNonRetryable, 0, 1600*ms, 0, 0, false)
+	g.Op(1505*ms, Arrival{ID: 2, OpType: writeNonRetryable, ClientLeavesAt: 1600 * ms})
 	wantActions(t, h, "send 1 to 1", "busy 2")
 }
 
@@ -887,8 +887,8 @@
 func TestShortTryIsNoRetryUnlessMarked(t *testing.T) {
 	g, h := newTestGateway(func(d *Deployment) { d.OpTypes[anyRead].LateValue = 0 })
 	submitOp(g, 0, 1, anyRead)
-	g.Op(0, 2, anyRead, 0, 300*ms, 0, 0, false)
-	g.Op(0, 3, anyRead, 0, 300*ms, 0, 0, true)
+	g.Op(0, Arrival{ID: 2, OpType: anyRead, ClientLeavesAt: 300 * ms})
+	g.Op(0, Arrival{ID: 3, OpType: anyRead, ClientLeavesAt: 300 * ms, IsRetry: true})
 	wantActions(t, h, "send 1 to 2", "send 2 to 3", "busy 3")
 }
 
--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -80,7 +80,8 @@
 			}
 			for ; m.nextOpAt <= now; m.nextOpAt += time.Duration(rng.ExpFloat64() / m.rate * float64(time.Second) * 4 / float64(4+surge)) {
 				m.lastOpID++
-				m.gateway.Op(now, m.lastOpID, 0, 0, now+2*time.Second, min(1, uint16(rng.IntN(4+surge)/3)), 0, false)
+				m.gateway.Op(now, Arrival{ID: m.lastOpID, ClientLeavesAt: now + 2*time.Second,
+					Group: min(1, uint16(rng.IntN(4+surge)/3))})
 			}
 			for i := 0; i < len(m.pending); i++ {
 				a := &m.pending[i]
--- a/choice/input.go
+++ b/choice/input.go
@@ -48,6 +48,22 @@
 	maxInputDebt = 5 * time.Millisecond
 )
 
+// Limits of the commands that are processed at a time.
+const (
+	// MaxOpenCommands is how many commands of one connection are processed at a time.
+	MaxOpenCommands = 16
+
+	// sharedOpenCommands is how many commands those connections may have together that have several at a time, unless each
+	// has only one.
+	sharedOpenCommands = 128
+)
+
+// OpenCommandLimit returns how many commands of a connection may be processed at a time, if that many connections have
+// several commands. Its further commands wait for the answers to these.
+func OpenCommandLimit(connections int) int {
+	return min(max(1, sharedOpenCommands/max(1, connections)), MaxOpenCommands)
+}
+
 // InputFlow is the input of one connection. Its zero value is a connection that has had no turn.
 type InputFlow struct {
 	// Backlogged tells that the connection's next input had arrived before it was ready to process it.
--- a/cmd/gorsewell/flood_test.go
+++ b/cmd/gorsewell/flood_test.go
@@ -114,7 +114,8 @@
 
 // usualResult is what became of the commands of usual clients.
 type usualResult struct {
-	latencies                   []time.Duration
+	// first holds the latencies of the first commands of all clients, which come at once; latencies those of the others.
+	first, latencies            []time.Duration
 	refused, failed, unanswered int
 	failures                    []string
 }
@@ -125,8 +126,8 @@
 	if n == 0 {
 		return "no answers"
 	}
-	return fmt.Sprintf("%d answers: p50 %v, p99 %v, max %v; %d refused, %d failed, %d unanswered", n,
-		r.latencies[n/2], r.latencies[n*99/100], r.latencies[n-1], r.refused, r.failed, r.unanswered)
+	return fmt.Sprintf("%d answers: p50 %v, p99 %v, max %v, max of first %v; %d refused, %d failed, %d unanswered", n,
+		r.latencies[n/2], r.latencies[n*99/100], r.latencies[n-1], slices.Max(r.first), r.refused, r.failed, r.unanswered)
 }
 
 // usualClients runs clients that send one command at a time for some time, and returns what became of these.
@@ -151,7 +152,11 @@
 				}
 				took := time.Since(start)
 				mu.Lock()
-				result.latencies = append(result.latencies, took)
+				if n == 0 {
+					result.first = append(result.first, took)
+				} else {
+					result.latencies = append(result.latencies, took)
+				}
 				switch {
 				case err != nil || strings.HasSuffix(got, "$"):
 					result.unanswered++
@@ -184,7 +189,7 @@
 	summary := r.String()
 	t.Log(summary)
 	n := len(r.latencies)
-	if n == 0 || r.unanswered > 0 || r.failed > 0 || r.latencies[n-1] > usualWait {
+	if n == 0 || r.unanswered > 0 || r.failed > 0 || max(r.latencies[n-1], slices.Max(r.first)) > usualWait {
 		t.Errorf("usual clients: %s, want all answered within %v; %q", summary, usualWait, r.failures[:min(5, len(r.failures))])
 	}
 	if float64(r.refused) > usualMaxRefused*float64(n) {
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
+	"gorsewell/choice"
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
 	"gorsewell/internal/eventlog"
@@ -87,6 +88,9 @@
 
 	turns *turns
 
+	// pipelining is the number of connections with several pending commands.
+	pipelining atomic.Int32
+
 	// stopping is true from the second phase of a planned stop on, see stop.go.
 	stopping atomic.Bool
 
@@ -399,7 +403,7 @@
 	}
 	c := &conn{acceptor: a, net: netConn, raw: raw, flow: newFlow(),
 		readBuffer: pgwire.ReadBuffer{MaxMessage: a.settings.MaxMessageBytes},
-		replies:    make(chan reply, maxPendingCommands+extraReplies)}
+		replies:    make(chan reply, choice.MaxOpenCommands+extraReplies)}
 	c.lastActivity.Store(int64(a.clock.Now()))
 	return c, nil
 }
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -26,9 +26,12 @@
 	c.enqueue(reply{bytes: bytes, answersCommand: true})
 }
 
+// severalCommands is how many pending commands make a connection count as one that pipelines.
+const severalCommands = 2
+
 func (c *conn) enqueue(r reply) {
-	if r.answersCommand {
-		c.pendingCommands.Add(1)
+	if r.answersCommand && c.pendingCommands.Add(1) == severalCommands {
+		c.acceptor.pipelining.Add(1)
 	}
 	c.pendingReplies.Add(1)
 	c.replies <- r
@@ -60,7 +63,9 @@
 			r = reply{answersCommand: r.answersCommand}
 		}
 		if r.answersCommand {
-			c.pendingCommands.Add(-1)
+			if c.pendingCommands.Add(-1) == severalCommands-1 {
+				c.acceptor.pipelining.Add(-1)
+			}
 			c.resumeReading()
 		}
 		pending := c.pendingReplies.Add(-1)
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -263,8 +263,10 @@
 		disconnect func(c *standin.Client) error
 		want       int
 	}{
-		"many at once": {input: numberedQueries(300), once: func(a *Acceptor) bool { return submittedCount(a.dispatcher.(*fakeDispatcher)) == maxPendingCommands }, want: maxPendingCommands},
-		"invalid":      {input: append(numberedQueries(1), "z\x00\x00\x00\x04"...), once: rejected, want: 1},
+		"many at once": {input: numberedQueries(300), once: func(a *Acceptor) bool {
+			return submittedCount(a.dispatcher.(*fakeDispatcher)) == choice.MaxOpenCommands
+		}, want: choice.MaxOpenCommands},
+		"invalid": {input: append(numberedQueries(1), "z\x00\x00\x00\x04"...), once: rejected, want: 1},
 		"a flood": {input: append(numberedQueries(1), "z\x00\x00\x00\x04"...), once: rejected, more: strings.Repeat("x", 3*maxFastDiscard),
 			want: 1},
 		"half closed": {input: numberedQueries(3), once: func(a *Acceptor) bool { return submittedCount(a.dispatcher.(*fakeDispatcher)) == 3 },
@@ -685,8 +687,8 @@
 	for n := range 300 {
 		expect(t, c, fmt.Sprintf("v%d", n))
 	}
-	if len(d.submitted) != 300 || maxOpen.Load() > maxPendingCommands+1 { // an ended op may still count
-		t.Errorf("got %d ops submitted, up to %d at once, want 300 and up to maxPendingCommands+1", len(d.submitted), maxOpen.Load())
+	if len(d.submitted) != 300 || maxOpen.Load() > choice.MaxOpenCommands+1 { // an ended op may still count
+		t.Errorf("got %d ops submitted, up to %d at once, want 300 and up to choice.MaxOpenCommands+1", len(d.submitted), maxOpen.Load())
 	}
 }
 
@@ -696,7 +698,7 @@
 	t.Parallel()
 	a, d, addr, stop := startAcceptor(t, 8, func(*exchange.Exchange) {})
 	c := dial(t, addr)
-	c.WriteBytes(numberedQueries(maxPendingCommands + 3))
+	c.WriteBytes(numberedQueries(choice.MaxOpenCommands + 3))
 	waitUntil(t, "reading is paused", func() bool {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -713,7 +715,7 @@
 		stop()
 	}()
 	waitUntil(t, "the acceptor is stopping", a.stopping.Load)
-	for n := range maxPendingCommands + 3 {
+	for n := range choice.MaxOpenCommands + 3 {
 		waitUntil(t, "the op is submitted", func() bool { return submittedCount(d) > n })
 		d.mu.Lock()
 		op := d.submitted[n]
@@ -806,7 +808,7 @@
 	})
 	stuck, other := dial(t, addr), dial(t, addr)
 	stuck.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	for n := range maxPendingCommands { // replies beyond what both ends can buffer; the client never reads
+	for n := range choice.MaxOpenCommands { // replies beyond what both ends can buffer; the client never reads
 		stuck.WriteBytes(pgwire.AppendQuery(nil, strings.Replace(lookupQuery, "id=1,c=lookup,d=400", fmt.Sprintf("id=%d,c=lookup,d=1", n), 1)))
 	}
 	if got, err := other.Query(";"); err != nil || got != "I" {
--- a/internal/clientside/memory_test.go
+++ b/internal/clientside/memory_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"gorsewell/choice"
 	"gorsewell/internal/deployment"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/membudget"
@@ -135,8 +136,8 @@
 		ack(op)
 	})
 	first, second := dial(t, addr), dial(t, addr)
-	first.WriteBytes(numberedQueries(maxPendingCommands))
-	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == maxPendingCommands })
+	first.WriteBytes(numberedQueries(choice.MaxOpenCommands))
+	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == choice.MaxOpenCommands })
 	for n := range 8 {
 		second.WriteBytes(longQuery(fmt.Sprintf("%d", 100+n), 0))
 	}
@@ -152,10 +153,10 @@
 			refused++
 		}
 	}
-	if int64(refused) != a.counts.CommandsSkipped.Load() || submittedCount(d)+refused != maxPendingCommands+8 {
-		t.Errorf("got %d busy replies and %d ops submitted of %d commands", refused, submittedCount(d), maxPendingCommands+8)
+	if int64(refused) != a.counts.CommandsSkipped.Load() || submittedCount(d)+refused != choice.MaxOpenCommands+8 {
+		t.Errorf("got %d busy replies and %d ops submitted of %d commands", refused, submittedCount(d), choice.MaxOpenCommands+8)
 	}
-	for n := range maxPendingCommands {
+	for n := range choice.MaxOpenCommands {
 		expect(t, first, fmt.Sprintf("v%d", n))
 	}
 	expectFree(t, a)
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -14,10 +14,6 @@
 	"gorsewell/internal/pgwire"
 )
 
-// maxPendingCommands is how many commands of one client may wait for their replies. Beyond that, reading pauses until
-// one reply is written.
-const maxPendingCommands = 16
-
 // extraReplies is the maximum number of replies that answer no command: three refused encryption requests, one startup
 // reply and one fatal error.
 const extraReplies = 5
@@ -78,13 +74,19 @@
 	return errRejected
 }
 
-// awaitQueueSpace pauses reading while maxPendingCommands commands wait for their replies. Meanwhile it notices if the
+// hasQueueSpace reports whether another command may wait for its reply.
+func (c *conn) hasQueueSpace() bool {
+	limit := choice.OpenCommandLimit(int(c.acceptor.pipelining.Load()))
+	return int(c.pendingCommands.Load()) < limit
+}
+
+// awaitQueueSpace pauses reading while as many commands as are allowed wait for their replies. Meanwhile it notices if the
 // client disconnects. Commands that are already in the read buffer are processed afterwards, even during a planned
 // stop.
 func (c *conn) awaitQueueSpace() error {
-	for c.pendingCommands.Load() >= maxPendingCommands {
+	for !c.hasQueueSpace() {
 		c.mu.Lock()
-		c.readPaused = c.pendingCommands.Load() >= maxPendingCommands // else the writer wakes nobody any more
+		c.readPaused = !c.hasQueueSpace() // else the writer wakes nobody any more
 		c.net.SetReadDeadline(time.Time{})
 		c.mu.Unlock()
 		gone := c.readPaused && c.awaitClientClose()
@@ -384,7 +386,9 @@
 	if position, ok := c.acceptor.clock.FromUnix(s.After); ok {
 		op.MinPosition = position
 	}
-	c.openOps = append(slices.DeleteFunc(c.openOps, (*exchange.Exchange).IsDone), op)
+	c.openOps = slices.DeleteFunc(c.openOps, (*exchange.Exchange).IsDone)
+	op.OpenBefore = len(c.openOps)
+	c.openOps = append(c.openOps, op)
 	c.acceptor.dispatcher.Submit(op)
 	c.enqueue(reply{op: op, answersCommand: true})
 	return true, nil
--- a/internal/clientside/stop_test.go
+++ b/internal/clientside/stop_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"gorsewell/choice"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/pgwire"
 	"gorsewell/internal/standin"
@@ -26,7 +27,7 @@
 func TestStopAnswersCommandsUnreadBehindOpenOps(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct{ commands, valueBytes int }{
-		{maxPendingCommands + 1, 0}, {100, 0}, {1000, 0}, {40, 64 << 10},
+		{choice.MaxOpenCommands + 1, 0}, {100, 0}, {1000, 0}, {40, 64 << 10},
 	} {
 		t.Run(fmt.Sprintf("%d commands with values of %d bytes", test.commands, test.valueBytes), func(t *testing.T) {
 			t.Parallel()
@@ -38,7 +39,7 @@
 			c := dial(t, addr)
 			c.SetDeadline(time.Now().Add(20 * time.Second))
 			go c.WriteBytes(paddedQueries(test.commands, test.valueBytes))
-			waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == maxPendingCommands })
+			waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == choice.MaxOpenCommands })
 			go stop()
 			waitUntil(t, "connections are being closed", a.stopping.Load)
 			close(release)
@@ -93,12 +94,12 @@
 	c := dial(t, addr)
 	c.SetDeadline(time.Now().Add(20 * time.Second))
 	go c.WriteBytes(paddedQueries(commands, 200))
-	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == maxPendingCommands })
+	waitUntil(t, "sixteen ops are open", func() bool { return submittedCount(d) == choice.MaxOpenCommands })
 	a.beginClosing() // the phases of a stop, without its times
 	d.Stop()
 	for n := range commands {
 		want := "C53300"
-		if n < maxPendingCommands {
+		if n < choice.MaxOpenCommands {
 			want = "C08007"
 		}
 		if expect(t, c, want); t.Failed() {
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -176,7 +176,7 @@
 		g.List(0, choice.ListCached, []choice.Listed{{ID: 1, State: choice.Ready, Primary: true}, {ID: 2, State: choice.Ready}})
 		for i := range settings.OpTypes {
 			now := time.Duration(i+1) * time.Millisecond
-			g.Op(now, uint32(i), uint8(i), 0, now+time.Second, 0, 0, false)
+			g.Op(now, choice.Arrival{ID: uint32(i), OpType: uint8(i), ClientLeavesAt: now + time.Second})
 			g.Answer(now+1, uint32(i), 0, 1, choice.Acked, 1, false, choice.Primary, now)
 			g.Timer(now+2, 0)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -165,7 +165,8 @@
 	if x.MinPosition != choice.LongPast {
 		writeAge = max(1, now-x.MinPosition)
 	}
-	d.gateway.Op(now, x.ID, x.OpType, x.Session, x.Deadline, x.Group, writeAge, x.IsRetry)
+	d.gateway.Op(now, choice.Arrival{ID: x.ID, OpType: x.OpType, Session: x.Session, ClientLeavesAt: x.Deadline,
+		Group: x.Group, WriteAge: writeAge, IsRetry: x.IsRetry, OpenBefore: x.OpenBefore})
 }
 
 // ClientLeft reports that the client of an op has disconnected.
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -9,8 +9,7 @@
 // policy decides in a gateway which server each op is sent to and when. It is the decision module, choice.Gateway, or a
 // baselinePolicy to compare that with.
 type policy interface {
-	Op(now time.Duration, id uint32, typeNumber uint8, session uint64, clientLeavesAt time.Duration, groupID uint16,
-		writeAge time.Duration, isRetry bool)
+	Op(now time.Duration, a choice.Arrival)
 	Answer(now time.Duration, id uint32, number uint8, serverID uint32, result choice.Result, took time.Duration,
 		final bool, role choice.Role, pos time.Duration)
 	Report(now time.Duration, id uint32, role choice.Role, pos time.Duration)
@@ -199,8 +198,8 @@
 	g.ops[op.id] = op
 	g.sim.checker.opAccepted(op)
 	g.sim.after(clientLeavesAt-g.sim.now, func() { g.timeOut(op) })
-	g.policy.Op(g.localTime(), op.id, uint8(req.opType.index), req.session, clientLeavesAt-g.clockBase,
-		uint16(req.group.index), writeAge, op.isRetry)
+	g.policy.Op(g.localTime(), choice.Arrival{ID: op.id, OpType: uint8(req.opType.index), Session: req.session,
+		ClientLeavesAt: clientLeavesAt - g.clockBase, Group: uint16(req.group.index), WriteAge: writeAge, IsRetry: op.isRetry})
 	return op
 }
 
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -81,19 +81,18 @@
 	mayHaveRunAt   time.Duration // when the first such send started
 }
 
-func (p *baselinePolicy) Op(now time.Duration, id uint32, typeNumber uint8, session uint64,
-	clientLeavesAt time.Duration, groupID uint16, writeAge time.Duration, isRetry bool) {
-	opType := &p.deployment.OpTypes[typeNumber]
-	o := &baselineOp{id: id, typeNumber: typeNumber, opType: opType,
-		valuePerWork: opType.Value / float64(p.gateway.sim.opTypes[typeNumber].Work), group: p.gateway.sim.groups[groupID],
-		clientLeavesAt: clientLeavesAt, targetAt: now + opType.Target, minPosition: choice.LongPast}
-	if opType.Need == choice.Session && writeAge > 0 {
-		o.minPosition = now - writeAge
+func (p *baselinePolicy) Op(now time.Duration, a choice.Arrival) {
+	opType := &p.deployment.OpTypes[a.OpType]
+	o := &baselineOp{id: a.ID, typeNumber: a.OpType, opType: opType,
+		valuePerWork: opType.Value / float64(p.gateway.sim.opTypes[a.OpType].Work), group: p.gateway.sim.groups[a.Group],
+		clientLeavesAt: a.ClientLeavesAt, targetAt: now + opType.Target, minPosition: choice.LongPast}
+	if opType.Need == choice.Session && a.WriteAge > 0 {
+		o.minPosition = now - a.WriteAge
 	}
 	if p.isOracle { // the latency target of a retry counts from the first try of the request
-		o.targetAt = p.gateway.ops[id].request.askedAt - p.gateway.clockBase + opType.Target
+		o.targetAt = p.gateway.ops[a.ID].request.askedAt - p.gateway.clockBase + opType.Target
 	}
-	p.ops[id] = o
+	p.ops[a.ID] = o
 	p.dispatch(now, o)
 }
 
--- a/internal/emulator/run_test.go
+++ b/internal/emulator/run_test.go
@@ -133,10 +133,9 @@
 // forgetfulPolicy ignores one op in ten.
 type forgetfulPolicy struct{ *baselinePolicy }
 
-func (m forgetfulPolicy) Op(now time.Duration, id uint32, typeNumber uint8, session uint64,
-	clientLeavesAt time.Duration, groupID uint16, writeAge time.Duration, isRetry bool) {
-	if id%10 > 0 {
-		m.baselinePolicy.Op(now, id, typeNumber, session, clientLeavesAt, groupID, writeAge, isRetry)
+func (m forgetfulPolicy) Op(now time.Duration, a choice.Arrival) {
+	if a.ID%10 > 0 {
+		m.baselinePolicy.Op(now, a)
 	}
 }
 
@@ -154,11 +153,10 @@
 // duplicatingPolicy sends one op in ten to the same server again while its first send is open.
 type duplicatingPolicy struct{ *baselinePolicy }
 
-func (m duplicatingPolicy) Op(now time.Duration, id uint32, typeNumber uint8, session uint64,
-	clientLeavesAt time.Duration, groupID uint16, writeAge time.Duration, isRetry bool) {
-	m.baselinePolicy.Op(now, id, typeNumber, session, clientLeavesAt, groupID, writeAge, isRetry)
-	if o := m.ops[id]; o != nil && o.sentTo != nil && id%10 == 0 {
-		m.gateway.Send(id, o.sentTo.id, 0)
+func (m duplicatingPolicy) Op(now time.Duration, a choice.Arrival) {
+	m.baselinePolicy.Op(now, a)
+	if o := m.ops[a.ID]; o != nil && o.sentTo != nil && a.ID%10 == 0 {
+		m.gateway.Send(a.ID, o.sentTo.id, 0)
 	}
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -168,10 +168,11 @@
 		if int(b[7]) >= in.opTypeCount {
 			return fmt.Errorf("op type %d is unknown: the settings define %d", b[7], in.opTypeCount)
 		}
-		g.Op(now, bigEndian.Uint32(b[3:]), b[7], bigEndian.Uint64(b[12:]), in.sinceStart(bigEndian.Uint64(b[20:])),
-			// The group and the age of the session's last write, in milliseconds, are encoded as floats. Bit 1 of b[44]
-			// marks a retry.
-			uint16(float32At(b[36:])), milliseconds(float64(float32At(b[40:]))), b[44]&2 != 0)
+		// The group and the age of the session's last write, in milliseconds, are encoded as floats. Bit 1 of b[44] marks
+		// a retry.
+		g.Op(now, choice.Arrival{ID: bigEndian.Uint32(b[3:]), OpType: b[7], Session: bigEndian.Uint64(b[12:]),
+			ClientLeavesAt: in.sinceStart(bigEndian.Uint64(b[20:])), Group: uint16(float32At(b[36:])),
+			WriteAge: milliseconds(float64(float32At(b[40:]))), IsRetry: b[44]&2 != 0})
 	case eventTimer:
 		g.Timer(now, bigEndian.Uint32(b[3:]))
 	case eventList:
