Held ops sort by present answer times; rejected input is discarded in turns

Seen with the flood test: beside 64 clients with valid statements the first commands of usual clients took up to 450 ms, as the value rate of an op held before there were samples of answer times was computed with the first estimate, a quarter of the latency target, and stayed below that of all later ones. The rate is computed when it is compared. Tests: HeldOpsAreSortedByPresentAnswerTimes, OpsOfOneConnectionSharePlaceAmongHeldOps; both fail without their lines. New kinds in the flood test: one command at a time, reconnecting after each rejection, 60 MB messages.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -132,9 +132,9 @@
 	opType          *opType
 	group           *group
 	session         uint64
-	openBefore      int           // open ops that its connection had when it came in
+	openBefore      int           // see Arrival
 	admissionDraw   float64       // random, from 0 to 1: it is admitted where at least this share of ops is
-	valueRate       float64       // value per unit of server time; sorts the held ops
+	heldValue       float64       // value that it can earn while it is held, see hold
 	targetEnd       time.Duration // when its latency target ends
 	holdEnd         time.Duration // until when it waits for a replica that is fresh enough
 	clientLeavesAt  time.Duration // when its client stops waiting
@@ -284,7 +284,7 @@
 	Group          uint16
 	WriteAge       time.Duration // age of the session's last write, 0 if it is not known
 	IsRetry        bool          // its client marked it as a retry
-	OpenBefore     int           // open ops that its connection already has
+	OpenBefore     int           // open ops that its connection has or for which it waited
 }
 
 // Op handles a client's op that has come in.
@@ -502,27 +502,7 @@
 	} else if s := g.chooseServer(now, o); s != nil && g.send(now, o, s) {
 		o.removeFromHeld()
 	} else if !o.held {
-		// Ops that a connection sends at once share the place of one, so that they do not keep out those of other clients.
-		o.held, o.valueRate = true, o.opType.Value/float64(o.opType.meanAnswerTime())/float64(1+o.openBefore)
-		if now >= o.targetEnd-o.opType.meanAnswerTime() {
-			o.valueRate *= o.opType.LateValue
-		}
-		h := o.group.held
-		i, _ := slices.BinarySearchFunc(h, o, func(a, b *op) int { return cmp.Compare(b.valueRate, a.valueRate) })
-		o.group.held = slices.Insert(h, i, o)
-	}
-}
-
-// removeFromHeld takes an op off its group's list of held ops.
-func (o *op) removeFromHeld() {
-	o.held = false
-	o.group.held = slices.DeleteFunc(o.group.held, func(p *op) bool { return p == o })
-}
-
-// placeHeld tries to place the held ops of a group, the most valuable first.
-func (g *Gateway) placeHeld(now time.Duration, gr *group) {
-	for _, o := range slices.Clone(gr.held) {
-		g.place(now, o)
+		g.hold(now, o)
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -789,7 +789,7 @@
 		g.lastTimerAt = time.Second
 		g.Op(time.Second, Arrival{ID: id, OpType: freshRead, ClientLeavesAt: 5 * time.Second, IsRetry: id == 0})
 	}
-	if held := g.groupOrder[0].held; len(held) != 2 || held[0].id != 1 || held[1].valueRate >= held[0].valueRate/4 {
+	if held := g.groupOrder[0].held; len(held) != 2 || held[0].id != 1 || held[1].valueRate() >= held[0].valueRate()/4 {
 		t.Errorf("got %d held ops, want 2: op 1, then the late op 0 with less than a quarter of its value", len(held))
 	}
 }
@@ -1031,3 +1031,35 @@
 		t.Errorf("got %+v, want %+v", h.decided, want)
 	}
 }
+
+// Ops that were held before there were samples of answer times stayed behind all later ones, as their value rate had been
+// computed with the first estimate.
+func TestHeldOpsAreSortedByPresentAnswerTimes(t *testing.T) {
+	g, h := newTestGateway(nil)
+	for _, s := range g.servers {
+		s.limit = 0
+	}
+	submitOp(g, 0, 1, anyRead)
+	g.opTypes[anyRead].answerTimes = histogram{sampleSize / 4}
+	submitOp(g, ms, 2, boundedRead)
+	g.Op(ms, Arrival{ID: 3, OpType: anyRead, ClientLeavesAt: time.Second, OpenBefore: 1})
+	g.servers[2].limit = 8
+	g.lastTimerAt = 2 * ms
+	g.placeHeld(2*ms, g.groupOrder[0])
+	wantActions(t, h, "send 1 to 2", "send 3 to 2", "send 2 to 2")
+}
+
+// The held commands of a connection that sent many at once kept out those of other clients.
+func TestOpsOfOneConnectionSharePlaceAmongHeldOps(t *testing.T) {
+	g, h := newTestGateway(nil)
+	for _, s := range g.servers {
+		s.limit = 0
+	}
+	for n := range uint32(4) {
+		g.Op(0, Arrival{ID: n, OpType: anyRead, ClientLeavesAt: time.Second, OpenBefore: int(n)})
+	}
+	g.Op(0, Arrival{ID: 9, OpType: anyRead, ClientLeavesAt: time.Second})
+	g.servers[2].limit = 8
+	g.placeHeld(0, g.groupOrder[0])
+	wantActions(t, h, "send 9 to 2", "send 0 to 2", "send 1 to 2", "send 2 to 2", "send 3 to 2")
+}
--- a/cmd/gorsewell/flood_test.go
+++ b/cmd/gorsewell/flood_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -31,6 +32,10 @@
 
 	// next returns the n-th piece of input of a client.
 	next func(client, n int) []byte
+
+	// play, if not nil, plays a client that does not send all it can on one connection. It returns when it has to connect
+	// again.
+	play func(c *standin.Client)
 }
 
 // floodQuery returns a lookup with the given id, op type, wait in milliseconds and group.
@@ -43,15 +48,26 @@
 func floodKinds() []floodKind {
 	id := func(client, n int) string { return fmt.Sprintf("f%dx%d", client, n) }
 	return []floodKind{
-		{"empty", func(int, int) []byte { return pgwire.AppendQuery(nil, "") }},
-		{"new op types", func(c, n int) []byte { return floodQuery(id(c, n), "t"+id(c, n), 800, 0) }},
-		{"no id", func(int, int) []byte { return pgwire.AppendQuery(nil, "SELECT 1 /* c=lookup,cluster=0 */") }},
-		{"no comment", func(int, int) []byte { return pgwire.AppendQuery(nil, "SELECT 1") }},
-		{"unknown groups", func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 1+n%60000) }},
-		{"open id", func(int, int) []byte { return floodQuery("same", "lookup", 800, 0) }},
-		{"no time", func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 0, 0) }},
-		{"valid", func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 0) }},
-		{"long", func(c, n int) []byte {
+		{name: "one at a time", play: playOneAtATime},
+		{name: "reconnecting", play: func(c *standin.Client) {
+			c.WriteBytes([]byte("Z\x00\x00\x00\x04"))
+			c.ReadAnswer()
+		}},
+		{name: "oversize", play: func(c *standin.Client) {
+			piece := bytes.Repeat([]byte("x"), 64<<10)
+			for err := c.WriteBytes([]byte("Q\x03\xff\xff\xff")); err == nil; {
+				err = c.WriteBytes(piece)
+			}
+		}},
+		{name: "empty", next: func(int, int) []byte { return pgwire.AppendQuery(nil, "") }},
+		{name: "new op types", next: func(c, n int) []byte { return floodQuery(id(c, n), "t"+id(c, n), 800, 0) }},
+		{name: "no id", next: func(int, int) []byte { return pgwire.AppendQuery(nil, "SELECT 1 /* c=lookup,cluster=0 */") }},
+		{name: "no comment", next: func(int, int) []byte { return pgwire.AppendQuery(nil, "SELECT 1") }},
+		{name: "unknown groups", next: func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 1+n%60000) }},
+		{name: "open id", next: func(int, int) []byte { return floodQuery("same", "lookup", 800, 0) }},
+		{name: "no time", next: func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 0, 0) }},
+		{name: "valid", next: func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 0) }},
+		{name: "long", next: func(c, n int) []byte {
 			query := "SELECT data FROM facts WHERE code = '" + strings.Repeat("x", 60<<10) + "' /* c=lookup,cluster=0 */"
 			return pgwire.AppendQuery(nil, query)
 		}},
@@ -76,23 +92,44 @@
 	running.Wait()
 }
 
-// flood sends input of one kind on one connection at full speed and reads what it is sent.
+// playOneAtATime sends empty statements, each when the one before is answered.
+func playOneAtATime(c *standin.Client) {
+	for {
+		if _, err := c.Query(""); err != nil {
+			return
+		}
+	}
+}
+
+// flood sends input of one kind at full speed until it cannot connect.
 func flood(addr string, kind floodKind, client int) {
-	c, err := standin.Dial(addr)
-	if err != nil {
-		return
+	for n := 0; ; {
+		c, err := standin.Dial(addr)
+		if err != nil {
+			return
+		}
+		c.SetDeadline(time.Time{})
+		if kind.play != nil {
+			kind.play(c)
+		} else {
+			n = pipeline(c, kind, client, n)
+		}
+		c.Close()
 	}
-	defer c.Close()
-	c.SetDeadline(time.Time{})
+}
+
+// pipeline sends input on one connection, from the n-th piece on, until it is closed, and reads what it is sent. It returns the
+// number of the next piece.
+func pipeline(c *standin.Client, kind floodKind, client, n int) int {
 	go io.Copy(io.Discard, c.Conn)
-	for n := 0; ; {
+	for {
 		var batch []byte
 		for len(batch) < 32<<10 {
 			batch = append(batch, kind.next(client, n)...)
 			n++
 		}
 		if c.WriteBytes(batch) != nil {
-			return
+			return n
 		}
 	}
 }
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -432,7 +431,9 @@
 	case reason == errRejected:
 		c.net.CloseWrite()
 		c.net.SetReadDeadline(time.Now().Add(closeGrace))
-		io.Copy(io.Discard, c.net)
+		for err := error(nil); err == nil; {
+			_, err = c.discardInput()
+		}
 	case reason == errClosing && c.isClosing():
 		// A command that arrives now stays unread, so that the client gets a reset.
 		c.net.CloseWrite()
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -302,6 +302,16 @@
 // is slowed down.
 const maxFastDiscard = 1 << 20
 
+// discardInput reads once and discards what it has read, in a turn of its own.
+func (c *conn) discardInput() (n int, err error) {
+	n, err = c.readSocket(c.readBuffer.Space())
+	if err == nil {
+		c.acceptor.turns.await(c.flow)
+		c.acceptor.turns.end()
+	}
+	return n, err
+}
+
 // awaitReplies waits until all pending replies are written and then returns the reason. It returns errClientGone if the
 // client disconnects earlier: its open ops must then not be sent to a server again. Input after rejected input is
 // discarded, so that the end of the stream becomes visible. Other input stays unread, which tells the client that it was
@@ -318,7 +328,7 @@
 			}
 			continue
 		}
-		n, err := c.net.Read(c.readBuffer.Space())
+		n, err := c.discardInput()
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return errClientGone
 		}
@@ -388,6 +398,9 @@
 	}
 	c.openOps = slices.DeleteFunc(c.openOps, (*exchange.Exchange).IsDone)
 	op.OpenBefore = len(c.openOps)
+	if c.flow.Backlogged { // it waited for another command, even if that is answered by now
+		op.OpenBefore = max(op.OpenBefore, 1)
+	}
 	c.openOps = append(c.openOps, op)
 	c.acceptor.dispatcher.Submit(op)
 	c.enqueue(reply{op: op, answersCommand: true})
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,7 +37,7 @@
 	Group       uint16
 	Session     uint64
 	IsRetry     bool          // the client has tried the same op before
-	OpenBefore  int           // open ops that the client's connection already has
+	OpenBefore  int           // see choice.Arrival
 	Deadline    time.Duration // when the client stops waiting
 	Target      time.Duration // the latency target of the op type
 	MinPosition time.Duration // the position that a session read has to see, or choice.LongPast
