--- a/choice/input.go
+++ b/choice/input.go
@@ -41,9 +41,13 @@
 	// of the backlogged connections has one.
 	occasionalLead = 8
 
-	// inputBurst is how much unused time a budget accumulates.
+	// inputBurst is how much unused time accumulates for all turns.
 	inputBurst = 10 * time.Millisecond
 
+	// backlogBurst is how much accumulates for backlogged connections. It is short, as the Go scheduler hardly looks for
+	// network events, those of other connections among them, while turns follow each other.
+	backlogBurst = 2 * time.Millisecond
+
 	// maxInputDebt is the greatest debt of a budget after a turn that took long.
 	maxInputDebt = 5 * time.Millisecond
 )
@@ -90,7 +94,8 @@
 	if cores <= 0 || cores > 1 { // turns use one core at most
 		cores = 1
 	}
-	return &InputScheduler{all: newTimeBudget(now, inputShare), backlog: newTimeBudget(now, backlogShare*cores)}
+	return &InputScheduler{all: newTimeBudget(now, inputShare, inputBurst),
+		backlog: newTimeBudget(now, backlogShare*cores, backlogBurst)}
 }
 
 // Request asks for a turn. If it returns true, the turn has begun; else Next returns the connection later.
@@ -127,11 +132,12 @@
 	f.finish = f.start + 1
 }
 
-// End ends the turn that has begun.
-func (s *InputScheduler) End(now time.Duration) {
+// End ends the turn that has begun. readTime is the time that reading its input took before.
+func (s *InputScheduler) End(now, readTime time.Duration) {
 	s.inTurn = false
-	s.all.use(now, now-s.turnStart)
-	s.backlog.use(now, now-s.turnStart)
+	used := now - s.turnStart + readTime
+	s.all.use(now, used)
+	s.backlog.use(now, used)
 }
 
 // timeUntilAllowed returns how long the budgets keep a connection from its turn.
@@ -152,19 +158,20 @@
 // timeBudget is time that accumulates at a rate and is used up by turns.
 type timeBudget struct {
 	rate      float64 // time gained per time
+	most      time.Duration
 	left      time.Duration
 	updatedAt time.Duration
 }
 
 // newTimeBudget returns a full budget.
-func newTimeBudget(now time.Duration, rate float64) timeBudget {
-	return timeBudget{rate: rate, left: inputBurst, updatedAt: now}
+func newTimeBudget(now time.Duration, rate float64, most time.Duration) timeBudget {
+	return timeBudget{rate: rate, most: most, left: most, updatedAt: now}
 }
 
 // update adds what has accumulated.
 func (b *timeBudget) update(now time.Duration) {
 	gained := time.Duration(b.rate * float64(now-b.updatedAt))
-	b.left, b.updatedAt = min(b.left+gained, inputBurst), now
+	b.left, b.updatedAt = min(b.left+gained, b.most), now
 }
 
 // use takes time off the budget.
--- a/choice/input_test.go
+++ b/choice/input_test.go
@@ -30,7 +30,7 @@
 		m.now += length
 		m.busy += length
 		m.turns[f]++
-		m.scheduler.End(m.now)
+		m.scheduler.End(m.now, 0)
 		m.current = nil
 		if m.scheduler.Request(m.now, f) {
 			m.current = f
@@ -83,7 +83,7 @@
 				t.Fatal("got two turns at a time")
 			}
 			m.now += turn
-			m.scheduler.End(m.now)
+			m.scheduler.End(m.now, 0)
 			if m.current != nil {
 				m.scheduler.Request(m.now, m.current)
 				m.current = nil
@@ -92,7 +92,7 @@
 				t.Fatalf("%d clients: got another turn or a wait of %v, want the occasional one", clients, wait)
 			}
 			m.now += turn
-			m.scheduler.End(m.now)
+			m.scheduler.End(m.now, 0)
 		}
 	}
 }
@@ -104,7 +104,7 @@
 	if !s.Request(0, f) {
 		t.Fatal("got no turn")
 	}
-	s.End(time.Minute)
+	s.End(time.Minute, 0)
 	if s.Request(time.Minute, f) {
 		t.Error("got a turn of a backlogged connection at once, want a wait")
 	}
--- a/cmd/gorsewell/flood_test.go
+++ b/cmd/gorsewell/flood_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -78,17 +79,21 @@
 // name of a kind of flood and a number of clients, each followed by a slash.
 const runAsFlood = "GORSEWELL_TEST_FLOOD"
 
-// floodFromEnvironment runs the flooding clients that the value of runAsFlood describes, until the process is killed.
+// floodFromEnvironment runs the flooding clients that the value of runAsFlood describes, until the process is killed. It prints a
+// line when all have connected for the first time.
 func floodFromEnvironment(value string) {
 	runtime.GOMAXPROCS(2) // so that the rest of the test is not delayed
 	fields := strings.Split(value, "/")
 	clients, _ := strconv.Atoi(fields[2])
-	var running sync.WaitGroup
+	var connected, running sync.WaitGroup
+	connected.Add(clients)
 	for _, kind := range floodKinds() {
 		for n := 0; kind.name == fields[1] && n < clients; n++ {
-			running.Go(func() { flood(fields[0], kind, n) })
+			running.Go(func() { flood(fields[0], kind, n, sync.OnceFunc(connected.Done)) })
 		}
 	}
+	connected.Wait()
+	fmt.Println("connected")
 	running.Wait()
 }
 
@@ -101,13 +106,14 @@
 	}
 }
 
-// flood sends input of one kind at full speed until it cannot connect.
-func flood(addr string, kind floodKind, client int) {
+// flood sends input of one kind at full speed until it cannot connect. It calls connected whenever it has connected.
+func flood(addr string, kind floodKind, client int, connected func()) {
 	for n := 0; ; {
 		c, err := standin.Dial(addr)
 		if err != nil {
 			return
 		}
+		connected()
 		c.SetDeadline(time.Time{})
 		if kind.play != nil {
 			kind.play(c)
@@ -134,11 +140,15 @@
 	}
 }
 
-// startFlood starts a process with clients that flood a gateway until the test ends or the process is killed.
+// startFlood starts a process with clients that flood a gateway, and waits until all have connected. They flood it until the test ends or the process is killed.
 func startFlood(t *testing.T, addr string, kind floodKind, clients int) *os.Process {
 	t.Helper()
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s/%s/%d", runAsFlood, addr, kind.name, clients))
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -146,6 +156,9 @@
 		cmd.Process.Kill()
 		cmd.Wait()
 	})
+	if line, err := bufio.NewReader(out).ReadString('\n'); err != nil {
+		t.Fatalf("the flooding clients did not connect: %q, %v", line, err)
+	}
 	return cmd.Process
 }
 
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -49,7 +49,7 @@
 		}
 		c.acceptor.turns.await(c.flow)
 		err = c.handleQuery(m.Body)
-		c.acceptor.turns.end()
+		c.acceptor.turns.end(c.flow)
 		if err != nil {
 			return c.reject(err)
 		}
@@ -229,7 +229,7 @@
 	}
 	if size := pgwire.MessageSize(c.readBuffer.Bytes()); size == 0 || size > len(c.readBuffer.Bytes()) {
 		c.acceptor.turns.await(c.flow)
-		c.acceptor.turns.end()
+		c.acceptor.turns.end(c.flow)
 	}
 	return nil
 }
@@ -307,7 +307,7 @@
 	n, err = c.readSocket(c.readBuffer.Space())
 	if err == nil {
 		c.acceptor.turns.await(c.flow)
-		c.acceptor.turns.end()
+		c.acceptor.turns.end(c.flow)
 	}
 	return n, err
 }
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -12,9 +12,11 @@
 func (c *conn) readSocket(space []byte) (n int, err error) {
 	c.flow.Backlogged = true
 	rawErr := c.raw.Read(func(fd uintptr) bool {
+		start := c.acceptor.clock.Now()
 		for err = unix.EINTR; err == unix.EINTR; {
 			n, err = unix.Read(int(fd), space)
 		}
+		c.flow.readTime += c.acceptor.clock.Now() - start
 		if err == unix.EAGAIN {
 			c.flow.Backlogged = false
 			return false
--- a/internal/clientside/turns.go
+++ b/internal/clientside/turns.go
@@ -36,6 +36,9 @@
 type flow struct {
 	choice.InputFlow
 	begun chan struct{}
+
+	// readTime is how long reads took since the last turn.
+	readTime time.Duration
 }
 
 func newFlow() *flow { return &flow{begun: make(chan struct{}, 1)} }
@@ -56,12 +59,13 @@
 
 // end ends the turn that has begun, after all goroutines that are ready now have run. Among them are those that the turn has
 // made ready, so that its time is that of all it has caused.
-func (t *turns) end() {
+func (t *turns) end(f *flow) {
 	runtime.Gosched()
 	t.mu.Lock()
-	t.scheduler.End(t.clock.Now())
+	defer t.mu.Unlock()
+	t.scheduler.End(t.clock.Now(), f.readTime)
+	f.readTime = 0
 	t.beginNextLocked()
-	t.mu.Unlock()
 }
 
 // beginNext begins the next turn if the scheduler allows it.
