Input is read ahead, so that a client's leaving is noticed behind unread input

Cause: nothing is read while 16 commands are open, the end of the stream stays behind unread bytes that exceed both machines' buffers, and POLLRDHUP does not show it; held ops and further commands were sent. Before an op is submitted, and while open ops wait, what has arrived is read ahead into memory with a budget of its own (a 16th). Without memory the command gets 53300, as nothing tells whether its client is there. Class: believing that a peer is present from the absence of a sign. A client that leaves behind more than that memory while ops are held is still not noticed.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -339,6 +339,9 @@
 	raw        syscall.RawConn
 	readBuffer pgwire.ReadBuffer
 
+	// ahead is input that was read ahead.
+	ahead readAhead
+
 	// flow is the connection's input in the order of turns.
 	flow *flow
 
@@ -415,6 +418,7 @@
 	group.Go(c.writeReplies)
 	reason := c.read()
 	c.readBuffer = pgwire.ReadBuffer{} // what it holds is not processed any more
+	c.ahead.release()
 	c.releaseInput()
 	if reason != errClientGone {
 		reason = c.awaitReplies(reason)
--- /dev/null
+++ b/internal/clientside/leave_test.go
@@ -0,0 +1,82 @@
+package clientside
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gorsewell/choice"
+	"gorsewell/internal/deployment"
+	"gorsewell/internal/exchange"
+	"gorsewell/internal/pgwire"
+)
+
+// longQueries returns n queries with the ids 0 to n-1 and keys of the given length.
+func longQueries(n, keyBytes int) (queries []byte) {
+	key := "'" + strings.Repeat("k", keyBytes) + "'"
+	for i := range n {
+		query := strings.Replace(lookupQuery, "id=1", fmt.Sprintf("id=%d", i), 1)
+		queries = pgwire.AppendQuery(queries, strings.Replace(query, "'k'", key, 1))
+	}
+	return queries
+}
+
+// Ops were sent on after their client had left, as the end of its stream was hidden behind unread input.
+func TestLeavingBehindMuchUnreadInputIsNoticed(t *testing.T) {
+	const commands, keyBytes = 100, 32 << 10
+	for name, first := range map[string]int{"all at once": commands, "most while ops are open": choice.MaxOpenCommands} {
+		t.Run(name, func(t *testing.T) {
+			a, d, addr, _ := startAcceptorWith(t, deployment.Settings{MemoryBytes: 64 << 20}, 8, func(*exchange.Exchange) {})
+			c := dial(t, addr)
+			input := longQueries(commands, keyBytes)
+			firstBytes := first * len(input) / commands
+			c.WriteBytes(input[:firstBytes])
+			waitUntil(t, "ops are open", func() bool { return submittedCount(d) >= choice.MaxOpenCommands-1 })
+			c.WriteBytes(input[firstBytes:])
+			c.Close()
+			closed := time.Now()
+			waitUntil(t, "all ops are reported as left", func() bool { return len(d.left) == submittedCount(d) })
+			noticed := time.Since(closed)
+			for len(d.left) > 0 {
+				finish(<-d.left, exchange.ClientLeft)
+			}
+			waitUntil(t, "the connection has ended", func() bool { return a.counts.ClientOpen.Load() == 0 })
+			if n := submittedCount(d); n > choice.MaxOpenCommands {
+				t.Errorf("got %d ops submitted, want at most %d", n, choice.MaxOpenCommands)
+			}
+			if noticed > 100*time.Millisecond {
+				t.Errorf("got the leaving noticed after %v, want at most 100ms", noticed)
+			}
+		})
+	}
+}
+
+// Without memory to read ahead, nothing tells whether a client has left. Its commands get busy replies, and none is sent.
+func TestCommandsBehindUnreadInputWithoutMemoryAreRefused(t *testing.T) {
+	const commands, keyBytes = 100, 32 << 10
+	release := make(chan struct{})
+	a, d, addr, _ := startAcceptorWith(t, deployment.Settings{MemoryBytes: 8 << 20}, 8, func(op *exchange.Exchange) {
+		<-release
+		ack(op)
+	})
+	c := dial(t, addr)
+	go c.WriteBytes(longQueries(commands, keyBytes))
+	waitUntil(t, "a command has been skipped", func() bool { return a.counts.CommandsSkipped.Load() > 0 })
+	close(release)
+	acked, refused := 0, 0
+	for n := range commands {
+		got, err := c.ReadAnswer()
+		switch {
+		case err == nil && got == fmt.Sprintf("v%d", n):
+			acked++
+		case err == nil && strings.HasPrefix(got, "C53300"):
+			refused++
+		default:
+			t.Fatalf("command %d: got %q, %v, want an answer or a busy reply", n, got, err)
+		}
+	}
+	if acked != submittedCount(d) || refused == 0 {
+		t.Errorf("got %d acked and %d refused commands, %d submitted", acked, refused, submittedCount(d))
+	}
+}
--- a/internal/clientside/memory.go
+++ b/internal/clientside/memory.go
@@ -44,7 +44,7 @@
 
 // inputBudgets limits the memory of what clients have sent.
 type inputBudgets struct {
-	ops            *membudget.Budget
+	ops, ahead     *membudget.Budget
 	long, oversize *messageBudget
 }
 
@@ -67,6 +67,7 @@
 	atLeast := int64(longMessageCopies * pgwire.DefaultMaxMessage)
 	return inputBudgets{
 		ops:      membudget.New(memory / opMemoryDivisor),
+		ahead:    membudget.New(memory / readAheadMemoryDivisor),
 		long:     &messageBudget{Budget: membudget.New(max(atLeast, memory/longMessageMemoryDivisor))},
 		oversize: &messageBudget{Budget: membudget.New(max(atLeast, memory/oversizeMemoryDivisor))},
 	}
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -47,9 +47,11 @@
 		case m.Type != pgwire.Query: // no other command is supported
 			return c.reject(pgwire.ErrMalformed)
 		}
-		c.acceptor.turns.await(c.flow)
-		err = c.handleQuery(m.Body)
-		c.acceptor.turns.end(c.flow)
+		for err = errMoreInput; err == errMoreInput; {
+			c.acceptor.turns.await(c.flow)
+			err = c.handleQuery(m.Body)
+			c.acceptor.turns.end(c.flow)
+		}
 		if err != nil {
 			return c.reject(err)
 		}
@@ -89,7 +91,7 @@
 		c.readPaused = !c.hasQueueSpace() // else the writer wakes nobody any more
 		c.net.SetReadDeadline(time.Time{})
 		c.mu.Unlock()
-		gone := c.readPaused && c.awaitClientClose()
+		gone := c.readPaused && c.awaitClientLeaving()
 		c.mu.Lock()
 		c.readPaused = false // from here on a late wake-up cannot end another wait
 		c.setReadDeadline(time.Time{})
@@ -348,7 +350,7 @@
 	}
 }
 
-// handleQuery processes one command.
+// handleQuery processes one command. It returns errMoreInput if it has to be called again.
 func (c *conn) handleQuery(body []byte) error {
 	text, err := pgwire.ParseString(body)
 	if err != nil {
@@ -359,35 +361,38 @@
 		c.enqueueCommandReply(pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQueryResponse)))
 		return nil
 	}
+	statement, err := pgwire.ParseStatement(text)
+	if err != nil {
+		return c.rejectQuery("42601", "no usable comment")
+	}
+	opType, known := c.acceptor.opTypes[string(statement.OpType)]
+	if !known {
+		return c.rejectQuery("22023", "unknown op type")
+	}
+	switch err := c.confirmPresence(); err {
+	case nil:
+	case errNoMemory: // it is not known whether the client has left
+		return c.rejectBusy()
+	default:
+		return err
+	}
 	owned, memory, ok := c.takeMemory(text)
 	if !ok {
 		return c.rejectBusy()
 	}
-	submitted, err := c.submit(owned, memory)
-	if !submitted {
+	if statement, err = pgwire.ParseStatement(owned); err != nil {
+		return err
+	}
+	if !c.acceptor.claimID(string(statement.ID)) {
 		memory.Release()
+		return c.rejectQuery("42710", "an op of this id is open")
 	}
-	return err
+	c.submit(statement, opType, memory)
+	return nil
 }
 
-// submit parses a statement and submits its op, which then owns the statement and the memory reserved for it.
-func (c *conn) submit(text []byte, memory membudget.Reservation) (submitted bool, err error) {
-	s, err := pgwire.ParseStatement(text)
-	opType, known := c.acceptor.opTypes[string(s.OpType)]
-	switch {
-	case err != nil:
-		return false, c.rejectQuery("42601", "no usable comment")
-	case !known:
-		return false, c.rejectQuery("22023", "unknown op type")
-	case !c.acceptor.claimID(string(s.ID)):
-		return false, c.rejectQuery("42710", "an op of this id is open")
-	}
-	// A command may have waited for long, in the listener's queue or while the process was suspended, and its client
-	// may have disconnected in the meantime.
-	if c.clientClosed() {
-		c.acceptor.releaseID(string(s.ID))
-		return false, errClientGone
-	}
+// submit submits the op of a statement. The op owns the statement and the memory reserved for it.
+func (c *conn) submit(s *pgwire.Statement, opType uint8, memory membudget.Reservation) {
 	c.sentCommand.Store(true)
 	op := &exchange.Exchange{Statement: s, ClientID: string(s.ID), OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
 		Deadline: c.readAt + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
@@ -404,7 +409,6 @@
 	c.openOps = append(c.openOps, op)
 	c.acceptor.dispatcher.Submit(op)
 	c.enqueue(reply{op: op, answersCommand: true})
-	return true, nil
 }
 
 // rejectBusy replies to a command for which there is no memory. The connection stays open.
--- a/internal/clientside/refuse.go
+++ b/internal/clientside/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,8 +30,12 @@
 // countArrived reads what has arrived on a new connection and returns the number of complete commands behind the startup
 // packet. It returns false if there is no complete startup packet.
 func countArrived(netConn *net.TCPConn, maxMessage int) (commands int, ok bool) {
+	raw, err := netConn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
 	buffer := pgwire.ReadBuffer{MaxMessage: maxMessage}
-	for unread := unreadBytes(netConn); unread > 0; {
+	for unread := unreadBytes(raw); unread > 0; {
 		space := buffer.Space()
 		n, err := netConn.Read(space[:min(len(space), unread)])
 		if err != nil {
@@ -65,13 +70,9 @@
 }
 
 // unreadBytes returns how many bytes have arrived on a connection and were not read. It returns 0 if the socket fails.
-func unreadBytes(netConn *net.TCPConn) (n int) {
-	rawConn, err := netConn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	rawConn.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
-	if err != nil {
+func unreadBytes(raw syscall.RawConn) (n int) {
+	var err error
+	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) != nil || err != nil {
 		return 0
 	}
 	return n
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -11,11 +11,12 @@
 // readSocket reads into the given space and records whether it had to wait for input.
 func (c *conn) readSocket(space []byte) (n int, err error) {
 	c.flow.Backlogged = true
+	if n = c.ahead.take(space); n > 0 {
+		return n, nil
+	}
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		start := c.acceptor.clock.Now()
-		for err = unix.EINTR; err == unix.EINTR; {
-			n, err = unix.Read(int(fd), space)
-		}
+		n, err = readFile(fd, space)
 		c.flow.readTime += c.acceptor.clock.Now() - start
 		if err == unix.EAGAIN {
 			c.flow.Backlogged = false
@@ -55,6 +56,9 @@
 
 // hasUnreadInput reports whether a read would not wait: the client's bytes, or the end of its stream, have arrived.
 func (c *conn) hasUnreadInput() (ready bool) {
+	if c.ahead.size > 0 {
+		return true
+	}
 	err := c.raw.Control(func(fd uintptr) { ready = poll(fd, unix.POLLIN) })
 	return ready || err != nil
 }
@@ -65,3 +69,6 @@
 	n, err := unix.Poll(fds, 0)
 	return err == nil && n > 0
 }
+
+// isTimeout reports whether a read ended by its deadline.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/clientside/stop.go
+++ b/internal/clientside/stop.go
@@ -122,7 +122,7 @@
 func (c *conn) finalInput() int {
 	if !c.finalBytesKnown {
 		c.finalBytesKnown = true
-		c.finalBytes = unreadBytes(c.net)
+		c.finalBytes = c.ahead.size + unreadBytes(c.raw)
 	}
 	return c.finalBytes
 }
