The id of an op that must not run twice and may have run is refused for five minutes

What callers saw: a non-retryable op whose client left ran again when its id came again. Cause: an id was known only while its op was open; the end of an op whose client left says nothing of whether it ran. choice.IDGuard keeps the ids of ops that are not retryable and may have run, by hash, the latest 16,384 for five minutes each; they get 42710. Class: state that is dropped at an end although its effect goes on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -392,7 +392,7 @@
 	}
 	s, o.sentTo, o.lastResult = o.sentTo, nil, result
 	s.openSends = slices.DeleteFunc(s.openSends, func(p *op) bool { return p == o })
-	neverRan := result == ServerFull || result == NoConnection || result == NotSent || result == Declined
+	neverRan := result.NeverRan()
 	if neverRan && o.mayHaveRunAt == o.sentAt {
 		o.mayHaveRunAt = never
 	}
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"hash/maphash"
 	"log/slog"
 	"net"
 	"os"
@@ -96,15 +97,16 @@
 	// finalReads is true at the end of a planned stop, when only what has arrived may still be read.
 	finalReads atomic.Bool
 
-	// mu guards conns and openIDs, and the reserved memory of connections.
+	// mu guards conns and ids, and the reserved memory of connections.
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 
 	// connClosed receives a value when a connection has been closed.
 	connClosed chan struct{}
 
-	// openIDs holds the ids of the open ops.
-	openIDs map[string]struct{}
+	// ids guards the ids of ops, which it gets by hashes with this seed.
+	ids    *choice.IDGuard
+	idSeed maphash.Seed
 }
 
 // New returns an acceptor for at most maxConns connections.
@@ -112,7 +114,7 @@
 	maxConns int) *Acceptor {
 	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, events: eventlog.New(), settings: settings, opTypes: map[string]uint8{},
 		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
-		connClosed: make(chan struct{}, 1), openIDs: map[string]struct{}{}}
+		connClosed: make(chan struct{}, 1), ids: choice.NewIDGuard(), idSeed: maphash.MakeSeed()}
 	for i, name := range settings.OpTypeNames {
 		a.opTypes[name] = uint8(i)
 	}
@@ -313,22 +315,19 @@
 	return a.ensureCapacity(c)
 }
 
-// claimID records the id of an open op. It returns false if another open op has this id.
-func (a *Acceptor) claimID(id string) bool {
+// claimID records the id of an op that comes in. It returns false if the id must not be used.
+func (a *Acceptor) claimID(id []byte) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, open := a.openIDs[id]; open {
-		return false
-	}
-	a.openIDs[id] = struct{}{}
-	return true
+	return a.ids.Claim(a.clock.Now(), maphash.Bytes(a.idSeed, id))
 }
 
-// releaseID removes the id of an op that has ended.
-func (a *Acceptor) releaseID(id string) {
+// releaseID records that an op has ended.
+func (a *Acceptor) releaseID(op *exchange.Exchange) {
+	hash := maphash.String(a.idSeed, op.ClientID)
 	a.mu.Lock()
-	delete(a.openIDs, id)
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	a.ids.Release(a.clock.Now(), hash, a.settings.OpTypes[op.OpType].Effect, op.MayHaveRun)
 }
 
 // conn is one client connection. Its reader goroutine owns all fields down to finalBytes but replies, its writer
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -43,7 +43,7 @@
 	for r := range c.replies {
 		if r.op != nil {
 			<-r.op.Done
-			c.acceptor.releaseID(r.op.ClientID)
+			c.acceptor.releaseID(r.op)
 			r.bytes = finalReply(r.op)
 		}
 		// A client gets as long to read a reply as a server gets to accept a connection, or longer until its op is due.
--- a/internal/clientside/clientside_test.go
+++ b/internal/clientside/clientside_test.go
@@ -333,8 +333,8 @@
 		waitUntil(t, "the disconnect has arrived", c.clientClosed)
 		c.run()
 	}
-	if n := submittedCount(d); n != 0 || len(a.openIDs) != 0 {
-		t.Errorf("got %d ops submitted and %d open ids, want none", n, len(a.openIDs))
+	if n := submittedCount(d); n != 0 || a.ids.OpenCount() != 0 {
+		t.Errorf("got %d ops submitted and %d open ids, want none", n, a.ids.OpenCount())
 	}
 	if got, err := dial(t, addr).Query(lookupQuery); err != nil || got != "v1" {
 		t.Errorf("connected client: got %q, %v, want v1", got, err)
@@ -664,8 +664,8 @@
 	if got, err := second.Query(lookupQuery); err != nil || got != "v1" {
 		t.Errorf("after the end of the first op: got %q, %v, want v1", got, err)
 	}
-	if len(a.openIDs) != 0 {
-		t.Errorf("got %d open ids, want none", len(a.openIDs))
+	if a.ids.OpenCount() != 0 {
+		t.Errorf("got %d open ids, want none", a.ids.OpenCount())
 	}
 }
 
--- a/internal/clientside/leave_test.go
+++ b/internal/clientside/leave_test.go
@@ -80,3 +80,41 @@
 		t.Errorf("got %d acked and %d refused commands, %d submitted", acked, refused, submittedCount(d))
 	}
 }
+
+// A non-retryable op whose client had left ran again when its id came again.
+func TestIDOfNonRetryableOpThatMayHaveRunIsNotTakenAgain(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		effect     choice.Effect
+		mayHaveRun bool
+		want       string
+	}{
+		{"non-retryable, may have run", choice.NonRetryable, true, "C42710"},
+		{"tokened, may have run", choice.Tokened, true, "C42710"},
+		{"non-retryable, never ran", choice.NonRetryable, false, "v1"},
+		{"retryable, may have run", choice.Retryable, true, "v1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := make(chan struct{}, 1)
+			a, d, addr, _ := startAcceptor(t, 8, func(op *exchange.Exchange) {
+				select {
+				case first <- struct{}{}: // stays open until its client leaves
+				default:
+					ack(op)
+				}
+			})
+			a.settings.OpTypes[0].Effect = c.effect
+			leaving := dial(t, addr)
+			leaving.WriteBytes(pgwire.AppendQuery(nil, lookupQuery))
+			waitUntil(t, "the op is open", func() bool { return len(first) == 1 })
+			leaving.Close()
+			left := <-d.left
+			left.MayHaveRun = c.mayHaveRun
+			finish(left, exchange.ClientLeft)
+			waitUntil(t, "the connection has ended", func() bool { return a.counts.ClientOpen.Load() == 0 })
+			if got, err := dial(t, addr).Query(lookupQuery); err != nil || got != c.want {
+				t.Errorf("got %q, %v, want %s", got, err, c.want)
+			}
+		})
+	}
+}
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -383,9 +383,9 @@
 	if statement, err = pgwire.ParseStatement(owned); err != nil {
 		return err
 	}
-	if !c.acceptor.claimID(string(statement.ID)) {
+	if !c.acceptor.claimID(statement.ID) {
 		memory.Release()
-		return c.rejectQuery("42710", "an op of this id is open")
+		return c.rejectQuery("42710", "an op of this id is open or may have run")
 	}
 	c.submit(statement, opType, memory)
 	return nil
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -194,6 +194,7 @@
 		return
 	}
 	x.Outcome = outcome
+	x.MayHaveRun = x.MayHaveRun || x.InFlight
 	d.counts.Held.Add(-1)
 	switch outcome {
 	case exchange.Acked:
@@ -225,6 +226,9 @@
 	now := d.now()
 	invariant.Check(x.InFlight, "a send ends exactly once")
 	x.InFlight = false
+	if x.Outcome == exchange.Pending && !result.Result.NeverRan() {
+		x.MayHaveRun = true
+	}
 	if result.Result != choice.Acked {
 		d.opEvents.Info("send_ended", slog.String("id", x.ClientID), slog.Int("send", int(number)),
 			slog.String("server", d.serverID(server)), slog.String("result", result.Result.String()),
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,6 +54,7 @@
 	RetryAfter time.Duration // after which a client that got a busy reply should retry; 0 if not stated
 	Answer     Answer        // the server's messages up to ReadyForQuery, if the op was acked
 	InFlight   bool          // whether a send is in flight
+	MayHaveRun bool          // whether a send of the op may have run or may run yet; set when Done is closed
 }
 
 // Release frees the statement at its second call. The client side calls it once when the op's reply is written or will
