--- a/choice/choice.go
+++ b/choice/choice.go
@@ -424,6 +424,9 @@
 	}
 }
 
+// stalledSince reports whether the gateway process itself has stood still since a time.
+func (g *Gateway) stalledSince(at time.Duration) bool { return g.stallNoticedAt > at }
+
 // ClientGone handles the departure of a client, which needs no answer to its op any more.
 func (g *Gateway) ClientGone(now time.Duration, id uint32) {
 	if o := g.ops[id]; o != nil && !o.done {
@@ -784,6 +787,7 @@
 		o.firstErrorFrom = s // the fault is the server's or the op's; another server's answer will tell which
 	case result == ServerFull:
 		g.backOff(now, s, ReasonFull, false)
+	case result == NoConnection && g.stalledSince(o.sentAt): // the time to connect may have passed in the stall
 	case result == NoConnection, result == Reset:
 		// A reset may concern the connection alone, so it does not count here.
 		if result == NoConnection && s.backoff > 0 && o.sentAt >= s.aliveAsOf {
@@ -942,11 +946,15 @@
 
 // ProbeAnswer handles the end of a probe and is called once for each.
 func (g *Gateway) ProbeAnswer(now time.Duration, id uint32, result Result, took time.Duration) {
+	g.detectStall(now)
 	s := g.servers[id]
 	if s == nil {
 		return
 	}
 	defer g.placeHeld(now, s.group)
+	if (result == NoConnection || result == TimedOut) && g.stalledSince(now-took) {
+		result = NotSent // its time may have passed in the stall
+	}
 	if result == NoConnection || result == Reset || result == TimedOut {
 		g.markLost(now, s)
 		g.backOff(now, s, ReasonUnreachable, false)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1063,3 +1063,22 @@
 	g.placeHeld(0, g.groupOrder[0])
 	wantActions(t, h, "send 9 to 2", "send 0 to 2", "send 1 to 2", "send 2 to 2", "send 3 to 2")
 }
+
+// A server must not be blamed for what timed out while the gateway process itself stood still.
+func TestNoServerIsBlamedForStallOfTheGateway(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		g, h := newTestGateway(nil)
+		submitOp(g, 10*ms, 1, anyRead)
+		wantActions(t, h, "send 1 to 2")
+		g.Timer(10*ms, 0)
+		if !stalled {
+			g.lastTimerAt = 500 * ms
+		}
+		g.ProbeAnswer(501*ms, 3, TimedOut, 480*ms)
+		g.Answer(501*ms, 1, 0, 2, NoConnection, 480*ms, false, RoleUnknown, LongPast)
+		if sent, probed := g.servers[2], g.servers[3]; (sent.backoff > 0) == stalled || (probed.backoff > 0) == stalled ||
+			(probed.lostAt < never) == stalled {
+			t.Errorf("stalled %v: got backoffs %v and %v, lost at %v", stalled, sent.backoff, probed.backoff, probed.lostAt)
+		}
+	}
+}
