--- a/cmd/gorsewell/endings_test.go
+++ b/cmd/gorsewell/endings_test.go
@@ -198,3 +198,29 @@
 		}
 	}
 }
+
+// A gateway that stands still for longer than a call of discovery may take must not report that discovery failed.
+func TestDiscoveryIsNotBlamedForStallOfTheGateway(t *testing.T) {
+	cmd, addr, out, _ := startGateway(t, func(role, _ string) ([]byte, bool) {
+		return standin.Row("v", role, time.Now().UnixMilli()), true
+	})
+	cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(4 * time.Second)
+	cmd.Process.Signal(syscall.SIGCONT)
+	c, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got, err := c.Query(fmt.Sprintf(lookupQuery, 1)); err != nil || got != "v" {
+		t.Errorf("got %q, %v, want v", got, err)
+	}
+	c.Close()
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("got %v, want exit code 0", err)
+	}
+	if log := out.String(); strings.Contains(log, "discovery_failed") || strings.Contains(log, "set aside") {
+		t.Errorf("discovery or a server was blamed; log %s", log)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -328,13 +328,29 @@
 	return c.watchOpen
 }
 
+// maxTimerDelay is how late a timeout may come before the process itself counts as having stood still.
+const maxTimerDelay = 100 * time.Millisecond
+
+// getInTime makes one call with a timeout. A call that timed out while the process itself stood still is made again: its
+// answer may have come, and discovery is not at fault.
+func (c *Client) getInTime(ctx context.Context, query string, timeout time.Duration) (*List, error) {
+	for {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		deadline := time.Now().Add(timeout)
+		list, err := c.get(limited, query)
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) || time.Since(deadline) < maxTimerDelay {
+			return list, err
+		}
+		slog.Info("discovery_call_repeated", "reason", "the process stood still")
+	}
+}
+
 // fetch makes one call and passes the list on to the handler. The result is false if the call failed. If the version in
 // a list of changes is lower than the last one, discovery has restarted its count: changes since that version may be
 // incomplete.
 func (c *Client) fetch(ctx context.Context, query string, timeout time.Duration) bool {
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	list, err := c.get(limited, query)
+	list, err := c.getInTime(ctx, query, timeout)
 	var listed []choice.Listed
 	var addrs map[uint32]string
 	if err == nil {
