Soak over loopback: floods, leaving clients, stalls, signals and a planned stop

TestSoak plays a seed in three to six seconds: 16 usual clients with reads and writes, servers that refuse, fail, close and answer late, three floods of drawn kind and size, clients that send much and leave, SIGHUP, SIGUSR1, SIGSTOP and further signals in series, a crowd of idle connections on each third seed, a flood during the stop on half of them.

--- a/cmd/gorsewell/leave_test.go
+++ b/cmd/gorsewell/leave_test.go
@@ -29,7 +29,9 @@
 			finished <- id
 		}
 		return standin.Row("v", role, time.Now().UnixMilli()), true
-	}, func(config string) string { return strings.Replace(config, `"effect":"dedup"`, `"effect":"fragile"`, 1) })
+	}, func(config string) string {
+		return strings.Replace(config, `"effect":"dedup"`, `"effect":"fragile"`, 1)
+	})
 	for n := range rounds {
 		statement := fmt.Sprintf("INSERT INTO facts (code, data) VALUES ('k', 'x') RETURNING data /* id=w%d,c=save,d=2500,cluster=0 */", n)
 		leaving, err := standin.Dial(addr)
--- /dev/null
+++ b/cmd/gorsewell/soak_test.go
@@ -0,0 +1,357 @@
+package main
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"gorsewell/internal/pgwire"
+	"gorsewell/internal/standin"
+)
+
+// soakSeeds is an environment variable with the seeds of the soak: the first and the last one, separated by a hyphen.
+const soakSeeds = "GORSEWELL_SOAK_SEEDS"
+
+const (
+	// lateAnswerLimit is how long after its client's time an answer may still come.
+	lateAnswerLimit = 500 * time.Millisecond
+
+	// leaveLimit is how long after its client has left an attempt may begin, with the slack of sockets.
+	leaveLimit = 150 * time.Millisecond
+
+	// earliestKill is when the process may be killed after SIGTERM: the longest op timeout and 0.7 s.
+	earliestKill = 3700 * time.Millisecond
+
+	// excusedAfterStop is how long after SIGTERM commands come of which the kill may find some unanswered.
+	excusedAfterStop = 700 * time.Millisecond
+)
+
+// soak is one play: a gateway with usual clients, clients that leave, floods, signals and a planned stop.
+type soak struct {
+	rng         *rand.Rand
+	nonRetrying bool // writes are non-retryable
+	addr        string
+	crowded     bool
+	lastID      atomic.Int64
+	stopped     atomic.Bool // clients end
+	answered    atomic.Int64
+
+	mu         sync.Mutex
+	attempts   map[string][]time.Time // by id: when servers got it
+	executed   map[string]int         // by id of a write: how often it ran
+	leftAt     map[string]time.Time   // by id: when its client left
+	termAt     time.Time
+	killed     bool
+	violations []string
+}
+
+// violate records a broken rule.
+func (s *soak) violate(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+}
+
+// random returns a random number below n.
+func (s *soak) random(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+// answer answers a query as a server, sometimes late, with an error, or not at all.
+func (s *soak) answer(role, query string) ([]byte, bool) {
+	position := time.Now().UnixMilli()
+	_, rest, found := strings.Cut(query, "id=")
+	if !found {
+		return standin.Failure("42501", role, position), true
+	}
+	id, _, _ := strings.Cut(rest, ",")
+	s.mu.Lock()
+	s.attempts[id] = append(s.attempts[id], time.Now())
+	s.mu.Unlock()
+	if strings.HasPrefix(query, "INSERT") && role != "primary" {
+		return standin.Failure("25006", role, position), true
+	}
+	draw := s.random(100)
+	if draw == 0 {
+		return standin.Failure("53300", role, position), true
+	}
+	if strings.HasPrefix(query, "INSERT") {
+		s.mu.Lock()
+		s.executed[id]++
+		s.mu.Unlock()
+	}
+	delay := 500*time.Microsecond + time.Duration(s.random(4000))*time.Microsecond
+	if draw == 1 {
+		delay += time.Duration(s.random(300)) * time.Millisecond
+	}
+	time.Sleep(delay)
+	switch draw {
+	case 2:
+		return standin.Failure("XX000", role, position), true
+	case 3:
+		return nil, false
+	}
+	return standin.Row("v"+id, role, position), true
+}
+
+// statement returns a new statement and its id.
+func (s *soak) statement(write bool, wait time.Duration, keyBytes int) (id, text string) {
+	id = fmt.Sprint("s", s.lastID.Add(1))
+	form := "SELECT data FROM facts WHERE code = '%s' /* id=%s,c=lookup,d=%d,cluster=0 */"
+	if write {
+		form = "INSERT INTO facts (code, data) VALUES ('%s', 'x') RETURNING data /* id=%s,c=save,d=%d,cluster=0 */"
+	}
+	return id, fmt.Sprintf(form, strings.Repeat("k", keyBytes), id, wait.Milliseconds())
+}
+
+// connect opens a connection. It returns nil if the gateway does not take it.
+func (s *soak) connect() *standin.Client {
+	c, err := standin.DialTCP(s.addr)
+	if err != nil {
+		return nil
+	}
+	c.WriteBytes(pgwire.AppendStartup(nil, "portal", "crm"))
+	if got, err := c.ReadAnswer(); err != nil || got != "" {
+		c.Close()
+		return nil
+	}
+	return c
+}
+
+// playUsualClient sends one command at a time until the play ends.
+func (s *soak) playUsualClient() {
+	var c *standin.Client
+	for !s.stopped.Load() {
+		time.Sleep(time.Duration(s.random(60)) * time.Millisecond)
+		if c == nil {
+			if c = s.connect(); c == nil {
+				continue
+			}
+		}
+		wait := time.Duration(100+s.random(700)) * time.Millisecond
+		id, text := s.statement(s.random(4) == 0, wait, 1)
+		sentAt := time.Now()
+		c.SetDeadline(sentAt.Add(wait + lateAnswerLimit))
+		got, err := c.Query(text)
+		if got == "$" && wasUnread(c) {
+			err = syscall.ECONNRESET
+		}
+		s.judge(id, sentAt, got, err)
+		if err != nil || strings.HasSuffix(got, "$") || s.random(20) == 0 {
+			c.Close()
+			c = nil
+		}
+	}
+	if c != nil {
+		c.Close()
+	}
+}
+
+// wasUnread reports whether a connection that the gateway has closed was reset, which tells that it had unread input.
+func wasUnread(c *standin.Client) bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	for end := time.Now().Add(200 * time.Millisecond); err == nil && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		code := 0
+		raw.Control(func(fd uintptr) { code, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
+		if code != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// judge checks the answer to a command of a usual client.
+func (s *soak) judge(id string, sentAt time.Time, got string, err error) {
+	s.mu.Lock()
+	termAt, killed, executed := s.termAt, s.killed, s.executed[id]
+	s.mu.Unlock()
+	took := time.Since(sentAt)
+	reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	switch {
+	case got == "v"+id:
+		s.answered.Add(1)
+	case strings.HasPrefix(got, "C53300"):
+		if s.nonRetrying && executed > 0 {
+			s.violate("%s ran and was answered with 53300", id)
+		}
+	case strings.HasPrefix(got, "C08007"):
+	case killed && sentAt.Sub(termAt) <= excusedAfterStop:
+	case reset && !killed: // it was not read: the client sends it again on another connection
+		if executed > 0 {
+			s.violate("%s ran and its connection was reset after %v: %v", id, took, err)
+		}
+	default:
+		s.violate("%s: got %q, %v after %v, sent %v after SIGTERM (killed: %v)", id, got, err, took, sentAt.Sub(termAt), killed)
+	}
+}
+
+// playLeavingClient sends many commands at once and leaves.
+func (s *soak) playLeavingClient() {
+	c := s.connect()
+	if c == nil {
+		return
+	}
+	var input []byte
+	var ids []string
+	keyBytes := []int{1, 1, 16 << 10}[s.random(3)]
+	for range 1 + s.random(60) {
+		id, text := s.statement(true, 2500*time.Millisecond, keyBytes)
+		ids = append(ids, id)
+		input = pgwire.AppendQuery(input, text)
+	}
+	c.SetDeadline(time.Now().Add(100 * time.Millisecond))
+	c.WriteBytes(input)
+	time.Sleep(time.Duration(s.random(30)) * time.Millisecond)
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.leftAt[id] = time.Now()
+	}
+}
+
+// checkAttempts checks what the servers got.
+func (s *soak) checkAttempts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, left := range s.leftAt {
+		for _, at := range s.attempts[id] {
+			if late := at.Sub(left); late > leaveLimit {
+				s.violations = append(s.violations, fmt.Sprintf("an attempt of %s began %v after its client had left", id, late))
+			}
+		}
+	}
+	for id, n := range s.executed {
+		if s.nonRetrying && n > 1 {
+			s.violations = append(s.violations, fmt.Sprintf("%s ran %d times", id, n))
+		}
+	}
+}
+
+// play plays a seed and returns the gateway's log.
+func (s *soak) play(t *testing.T) string {
+	memoryMB := []int{64, 96, 192}[s.rng.IntN(3)]
+	sockets := map[bool]int{true: 256, false: 1024}[s.crowded]
+	cmd, addr, out, path := startGatewayWith(t, s.answer, func(config string) string {
+		if s.nonRetrying {
+			config = strings.Replace(config, `"effect":"dedup"`, `"effect":"fragile"`, 1)
+		}
+		return replaceField(t, config, "limits", map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets})
+	})
+	s.addr = addr
+	var clients sync.WaitGroup
+	for range 16 {
+		clients.Go(s.playUsualClient)
+	}
+	if s.crowded {
+		for range sockets {
+			if c, err := standin.DialTCP(addr); err == nil {
+				defer c.Close()
+			}
+		}
+	}
+	s.playTroubles(t, cmd)
+	s.stop(t, cmd)
+	s.stopped.Store(true)
+	clients.Wait()
+	s.checkAttempts()
+	if _, err := os.Stat(path); err != nil {
+		t.Error(err)
+	}
+	return out.String()
+}
+
+// playTroubles plays floods, leaving clients, signals and stalls one after the other.
+func (s *soak) playTroubles(t *testing.T, cmd *exec.Cmd) {
+	kinds := floodKinds()
+	for range 3 {
+		kind := kinds[s.random(len(kinds))]
+		process := startFlood(t, s.addr, kind, []int{1, 6, 64}[s.random(3)])
+		for range 5 {
+			s.playLeavingClient()
+			switch s.random(4) {
+			case 0:
+				cmd.Process.Signal(syscall.SIGHUP)
+				cmd.Process.Signal(syscall.SIGUSR1)
+			case 1:
+				cmd.Process.Signal(syscall.SIGSTOP)
+				time.Sleep(time.Duration(s.random(150)) * time.Millisecond)
+				cmd.Process.Signal(syscall.SIGCONT)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		process.Kill()
+	}
+}
+
+// stop stops the gateway as planned, with further signals in series, and kills it at the earliest time that the platform
+// may. A flood goes on meanwhile in some plays.
+func (s *soak) stop(t *testing.T, cmd *exec.Cmd) {
+	if s.random(2) == 0 {
+		kinds := floodKinds()
+		startFlood(t, s.addr, kinds[s.random(len(kinds))], 6)
+	}
+	s.mu.Lock()
+	s.termAt = time.Now()
+	s.mu.Unlock()
+	cmd.Process.Signal(syscall.SIGTERM)
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGINT} {
+		if s.random(2) == 0 {
+			time.Sleep(time.Duration(s.random(100)) * time.Millisecond)
+			cmd.Process.Signal(signal)
+		}
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			s.violate("the gateway ended with %v", err)
+		}
+	case <-time.After(time.Until(s.termAt.Add(earliestKill))):
+		s.mu.Lock()
+		s.killed = true
+		s.mu.Unlock()
+		cmd.Process.Kill()
+		<-ended
+	}
+}
+
+// Rules are kept beside floods, clients that leave, stalls, signals in series and a planned stop up to the earliest kill.
+func TestSoak(t *testing.T) {
+	first, last, _ := strings.Cut(cmp.Or(os.Getenv(soakSeeds), "1-4"), "-")
+	from, err := strconv.Atoi(first)
+	to, err2 := strconv.Atoi(last)
+	if err := errors.Join(err, err2); err != nil {
+		t.Fatal(err)
+	}
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &soak{rng: rand.New(rand.NewPCG(uint64(seed), 0)), nonRetrying: seed%2 == 0, crowded: seed%3 == 0,
+				attempts: map[string][]time.Time{}, executed: map[string]int{}, leftAt: map[string]time.Time{}}
+			log := s.play(t)
+			for _, v := range s.violations {
+				t.Error(v)
+			}
+			if s.answered.Load() == 0 || strings.Contains(log, "event=broken") || strings.Contains(log, "panic") {
+				t.Errorf("got %d answers; log %s", s.answered.Load(), log)
+			}
+			t.Logf("%d usual commands acked, %d commands left, killed: %v", s.answered.Load(), len(s.leftAt), s.killed)
+		})
+	}
+}
