--- a/cmd/gorsewell/soak_test.go
+++ b/cmd/gorsewell/soak_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -151,7 +152,7 @@
 		if got == "$" && wasUnread(c) {
 			err = syscall.ECONNRESET
 		}
-		s.judge(id, sentAt, got, err)
+		s.judge(id, c.LocalAddr().String(), sentAt, got, err)
 		if err != nil || strings.HasSuffix(got, "$") || s.random(20) == 0 {
 			c.Close()
 			c = nil
@@ -165,7 +166,7 @@
 // wasUnread reports whether a connection that the gateway has closed was reset, which tells that it had unread input.
 func wasUnread(c *standin.Client) bool {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	for end := time.Now().Add(200 * time.Millisecond); err == nil && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(time.Second); err == nil && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		code := 0
 		raw.Control(func(fd uintptr) { code, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
 		if code != 0 {
@@ -176,7 +177,7 @@
 }
 
 // judge checks the answer to a command of a usual client.
-func (s *soak) judge(id string, sentAt time.Time, got string, err error) {
+func (s *soak) judge(id, client string, sentAt time.Time, got string, err error) {
 	s.mu.Lock()
 	termAt, killed, executed := s.termAt, s.killed, s.executed[id]
 	s.mu.Unlock()
@@ -196,7 +197,7 @@
 			s.violate("%s ran and its connection was reset after %v: %v", id, took, err)
 		}
 	default:
-		s.violate("%s: got %q, %v after %v, sent %v after SIGTERM (killed: %v)", id, got, err, took, sentAt.Sub(termAt), killed)
+		s.violate("%s of %s: got %q, %v after %v, sent %v after SIGTERM (killed: %v)", id, client, got, err, took, sentAt.Sub(termAt), killed)
 	}
 }
 
@@ -332,6 +333,17 @@
 	}
 }
 
+// linesAbout returns the lines of a log that contain any of the words.
+func linesAbout(log string, words ...string) string {
+	var lines []string
+	for line := range strings.Lines(log) {
+		if slices.ContainsFunc(words, func(word string) bool { return strings.Contains(line, word) }) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
 // Rules are kept beside floods, clients that leave, stalls, signals in series and a planned stop up to the earliest kill.
 func TestSoak(t *testing.T) {
 	first, last, _ := strings.Cut(cmp.Or(os.Getenv(soakSeeds), "1-3"), "-")
@@ -348,6 +360,9 @@
 			for _, v := range s.violations {
 				t.Error(v)
 			}
+			if t.Failed() {
+				t.Log(linesAbout(log, "client_closed", "stopping", "stopped", "suppressed"))
+			}
 			if s.answered.Load() == 0 || strings.Contains(log, "event=broken") || strings.Contains(log, "panic") {
 				t.Errorf("got %d answers; log %s", s.answered.Load(), log)
 			}
--- a/internal/loopback/fleet.go
+++ b/internal/loopback/fleet.go
@@ -96,6 +96,7 @@
 
 // answer is a server's answer to a query.
 type answer struct {
+	empty    bool   // the query was empty
 	code     string // SQLSTATE; empty for a value
 	value    string
 	role     string // primary or replica; empty if the answer does not carry it
@@ -261,7 +262,9 @@
 // encode returns the messages of the answer on the wire.
 func (a answer) encode() []byte {
 	var b []byte
-	if a.code != "" {
+	if a.empty {
+		b = pgwire.AppendMessage(nil, pgwire.EmptyQueryResponse)
+	} else if a.code != "" {
 		b = pgwire.AppendError(nil, "ERROR", a.code, "as the stand-in has it", "")
 	} else {
 		n := len(a.value)
@@ -298,7 +301,7 @@
 func (s *server) query(text string, generation int) answer {
 	switch text {
 	case "":
-		return answer{code: "00000"}
+		return answer{empty: true}
 	case "SHOW load":
 		if s.waitProbeWhileHung(generation) {
 			return answer{reset: true}
--- a/internal/pgwire/answer.go
+++ b/internal/pgwire/answer.go
@@ -13,6 +13,7 @@
 	RowDescription:       256,
 	DataRow:              math.MaxUint32, // limited by the reader's maximum only
 	CommandComplete:      128,
+	EmptyQueryResponse:   4,
 	ErrorResponse:        8 << 10,
 	NoticeResponse:       8 << 10,
 	NotificationResponse: 10 << 10,
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -68,7 +68,7 @@
 	}
 	for j != nil {
 		result, reusable := c.execute(j)
-		if reusable {
+		if reusable = reusable && c.requestConfirmation(); reusable {
 			c.release() // before the result is reported, as that may lead to the next job
 		} else {
 			netConn.Close() // before the result is reported, as the op may then be sent again and must not have two open sends
@@ -122,7 +122,7 @@
 	}
 }
 
-// release returns the connection to the idle list.
+// release returns the connection to the idle list. It has written the query that confirms the end of the response.
 func (c *conn) release() {
 	p := c.pool
 	p.mu.Lock()
@@ -132,19 +132,18 @@
 		c.net.SetDeadline(exchange.Past)
 		return
 	}
-	// Close the connection long before the server closes it, so that no query crosses the server's close.
-	var deadline time.Time
-	if p.settings.IdleTimeout > 0 {
-		deadline = time.Now().Add(p.settings.IdleTimeout / 2)
-	}
-	c.net.SetDeadline(deadline)
+	c.net.SetDeadline(p.clock.Time(c.releasedAt + confirmTimeout))
 	p.idle[c.server] = append(p.idle[c.server], c)
 }
 
 // awaitJob waits for the next job. It returns nil if the connection has to be closed.
 func (c *conn) awaitJob() *job {
 	p := c.pool
-	_, err := c.net.Read(c.readBuffer.Space()) // data or EOF closes the connection, a job ends the read
+	usable := c.awaitConfirmation()
+	if usable && c.startIdling() {
+		_, err := c.net.Read(c.readBuffer.Space()) // data or EOF closes the connection, a job ends the read
+		usable = errors.Is(err, os.ErrDeadlineExceeded)
+	}
 	p.mu.Lock()
 	j := c.job
 	if j == nil && !c.closing {
@@ -155,7 +154,7 @@
 	if j == nil {
 		return nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.staysQuiet() && !c.isStale() {
+	if usable && c.staysQuiet() && !c.isStale() {
 		return j
 	}
 	// The server closed the connection or sent surplus bytes. Nothing was written, so the job can use another
@@ -168,6 +167,22 @@
 	return nil
 }
 
+// startIdling sets the deadline of an idle connection. It returns false if the connection has a job already.
+func (c *conn) startIdling() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.job != nil || c.closing {
+		return false
+	}
+	// Close the connection long before the server closes it, so that no query crosses the server's close.
+	var deadline time.Time
+	if idle := c.pool.settings.IdleTimeout; idle > 0 {
+		deadline = time.Now().Add(idle / 2)
+	}
+	c.net.SetDeadline(deadline)
+	return true
+}
+
 // staysQuiet waits until the quiet period after the last response is over. In it the server's close or surplus bytes,
 // which must not be taken for the next response, have time to arrive. It returns false if anything arrived.
 func (c *conn) staysQuiet() bool {
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -69,7 +69,12 @@
 
 func newOp(t *testing.T) *exchange.Exchange {
 	t.Helper()
-	s, err := pgwire.ParseStatement([]byte("SELECT data FROM facts WHERE code = 'k' /* id=1,c=lookup,d=400,cluster=3 */"))
+	return newOpWithID(t, "1")
+}
+
+func newOpWithID(t *testing.T, id string) *exchange.Exchange {
+	t.Helper()
+	s, err := pgwire.ParseStatement(fmt.Appendf(nil, "SELECT data FROM facts WHERE code = 'k' /* id=%s,c=lookup,d=400,cluster=3 */", id))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -26,6 +26,10 @@
 	StartupReply []byte
 	// Answer returns the bytes to write for a query, and whether the connection then stays open.
 	Answer func(query string) (answer []byte, keepOpen bool)
+	// EmptyQueryReply, if not nil, is written for an empty query in place of the usual reply.
+	EmptyQueryReply []byte
+	// Pieces makes the server write what it sends byte by byte.
+	Pieces bool
 	// TrailingDelay is the delay before the part of an answer that follows its first ReadyForQuery.
 	TrailingDelay time.Duration
 }
@@ -70,18 +74,48 @@
 		} else if !ok {
 			continue
 		}
-		answer, keepOpen := d.Answer(string(m.Body[:len(m.Body)-1]))
+		query := string(m.Body[:len(m.Body)-1])
+		if query == "" {
+			reply := d.EmptyQueryReply
+			if reply == nil {
+				reply = EmptyQueryReply()
+			}
+			if d.write(c, reply) != nil {
+				return
+			}
+			continue
+		}
+		answer, keepOpen := d.Answer(query)
 		if end := bytes.Index(answer, pgwire.AppendReady(nil)) + 6; d.TrailingDelay > 0 && end > 5 {
 			c.Write(answer[:end])
 			answer = answer[end:]
 			time.Sleep(d.TrailingDelay)
 		}
-		if _, err := c.Write(answer); err != nil || !keepOpen {
+		if d.write(c, answer) != nil || !keepOpen {
 			return
 		}
 	}
 }
 
+// write writes bytes, one after the other if the server writes in pieces.
+func (d *Database) write(c net.Conn, b []byte) error {
+	if !d.Pieces {
+		_, err := c.Write(b)
+		return err
+	}
+	for i := range b {
+		if _, err := c.Write(b[i : i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// EmptyQueryReply returns the reply to an empty query.
+func EmptyQueryReply() []byte {
+	return pgwire.AppendReady(pgwire.AppendMessage(nil, pgwire.EmptyQueryResponse))
+}
+
 // readMore reads once from a connection into a buffer.
 func readMore(c net.Conn, buffer *pgwire.ReadBuffer) error {
 	n, err := c.Read(buffer.Space())
