A wall clock that was wrong at the start is noticed from primaries and corrected

The wall clock is read once; a process that started while it was an hour off converted after, applied_ms and started_ms wrongly for its whole life: behind, all positions count as invalid; ahead, bounded reads find no fresh replica and a cold server looks warm. A primary's position is the present: five answers over a second that differ from it by the same time correct the conversion (choice/wallclock.go), so that positions look no newer than they are; one right answer ends the doubt, a position that stands still is none.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -70,6 +70,7 @@
 	serverID  func(server uint32) string
 
 	mu          sync.Mutex // guards every call of the module, and the fields below
+	wallClock   choice.WallClockCheck
 	gateway     *choice.Gateway
 	table       map[uint32]*entry
 	lastID      uint32        // the ID assigned most recently
@@ -224,6 +225,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	d.checkWallClock(now, &result)
 	invariant.Check(x.InFlight, "a send ends exactly once")
 	x.InFlight = false
 	if x.Outcome == exchange.Pending && !result.Result.NeverRan() {
@@ -249,6 +251,25 @@
 		result.Role, result.Position)
 }
 
+// checkWallClock compares the position that a primary stated with the present, and corrects the clock if it was wrong at
+// the start. The mutex has to be held. A list that is being converted at that moment may have the time before the
+// correction: its servers then look restarted, and cold, once.
+func (d *Dispatch) checkWallClock(now time.Duration, result *exchange.AttemptResult) {
+	if result.Role != choice.Primary || result.Stated == choice.LongPast || result.Stated == 0 {
+		return
+	}
+	correction := d.wallClock.Observe(now, now-result.Took, result.Stated)
+	if correction == 0 {
+		return
+	}
+	slog.Warn("wall_clock_corrected", "by", correction)
+	d.clock.Correct(correction)
+	d.gateway.WallClockCorrected(correction)
+	if result.Position != choice.LongPast {
+		result.Position += correction
+	}
+}
+
 // ProbeEnded handles the result of a probe; it is called exactly once for each probe.
 func (d *Dispatch) ProbeEnded(server uint32, result exchange.AttemptResult) {
 	d.mu.Lock()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -239,3 +239,20 @@
 		}
 	}
 }
+
+// A clock that was wrong at the start is corrected by what primaries state, so that their positions count again.
+func TestWrongWallClockIsCorrected(t *testing.T) {
+	for _, wrongBy := range []time.Duration{time.Hour, -time.Hour, 2 * time.Second} {
+		d, _, _ := startDispatch(t)
+		for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			stated, _ := d.clock.FromUnix(time.Now().Add(wrongBy).UnixMilli())
+			x := submitOp(d, 1, time.Second)
+			d.SendEnded(x, 0, primary, exchange.AttemptResult{Result: choice.Acked, Took: time.Millisecond, Role: choice.Primary,
+				Position: choice.LongPast, Stated: stated})
+		}
+		at, _ := d.clock.FromUnix(time.Now().Add(wrongBy).UnixMilli())
+		if off := (at - d.clock.Now()).Abs(); off > 50*time.Millisecond {
+			t.Errorf("clock wrong by %v: got a conversion that is off by %v after the correction", wrongBy, off)
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -96,6 +96,7 @@
 	Took     time.Duration
 	Role     choice.Role
 	Position time.Duration // the server's position in the log, or choice.LongPast if it stated none
+	Stated   time.Duration // the same, also if it cannot be right
 	Answer   Answer        // the server's messages up to ReadyForQuery
 	Report   *Report       // nil if the server sent none
 }
--- a/internal/serverside/receive.go
+++ b/internal/serverside/receive.go
@@ -58,7 +58,7 @@
 // receive reads the response to a query that was written completely, up to ReadyForQuery. The server's role and position
 // arrive just before that. The connection is reusable if ReadyForQuery was read.
 func (c *conn) receive(j *job) (result exchange.AttemptResult, reusable bool) {
-	a := answer{AttemptResult: exchange.AttemptResult{Position: choice.LongPast}}
+	a := answer{AttemptResult: exchange.AttemptResult{Position: choice.LongPast, Stated: choice.LongPast}}
 	var err error
 	for err == nil {
 		var m pgwire.Message
@@ -75,7 +75,7 @@
 		a.Result = choice.Reset
 	}
 	// The rest of a broken response is not trusted.
-	return exchange.AttemptResult{Result: a.Result, Position: choice.LongPast}, false
+	return exchange.AttemptResult{Result: a.Result, Position: choice.LongPast, Stated: choice.LongPast}, false
 }
 
 // processMessage processes one message of a response. It returns errReady at the end of the response.
@@ -166,6 +166,9 @@
 	case "applied_ms":
 		millis, _ := strconv.ParseInt(value, 10, 64)
 		a.Position = c.validPosition(millis)
+		if stated, ok := c.pool.clock.FromUnix(millis); ok {
+			a.Stated = stated
+		}
 	case "load":
 		a.Report = c.parseReport(value)
 	}
