--- a/choice/event.go
+++ b/choice/event.go
@@ -127,8 +127,3 @@
 
 // GiveUpReasons are the reasons of OpGivenUp.
 var GiveUpReasons = [...]Reason{ReasonStopping, ReasonNoServers, ReasonFailsEverywhere, ReasonNoTimeLeft, ReasonNoSendAllowed}
-
-// NeverRan reports whether the result proves that the op did not run.
-func (r Result) NeverRan() bool {
-	return r == ServerFull || r == NoConnection || r == NotSent || r == Declined
-}
--- a/choice/held.go
+++ b/choice/held.go
@@ -1,5 +1,7 @@
 package choice
 
+// Ops that wait for a server.
+
 import (
 	"cmp"
 	"slices"
