Errors of this machine do not count against servers, nor keep new connections waiting

A connection attempt that failed for want of descriptors, ports or memory here counted as no connection, and the server was avoided; it counts as not sent. The seams are the pool's dial function and clientside.Listener.

--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -69,6 +69,14 @@
 	finalReadTime = 100 * time.Millisecond
 )
 
+// Listener is the part of a net.TCPListener that an Acceptor uses.
+type Listener interface {
+	AcceptTCP() (*net.TCPConn, error)
+	SetDeadline(time.Time) error
+	SyscallConn() (syscall.RawConn, error)
+	Close() error
+}
+
 // Acceptor accepts client connections and serves them.
 type Acceptor struct {
 	clock      exchange.Clock
@@ -124,7 +132,7 @@
 // Serve accepts connections until the context ends and for stopAcceptPeriod after that. Then it closes each connection
 // once all its commands are answered, and returns when the last one is closed. Ops that would outlast the process are
 // ended shortly before the process is killed.
-func (a *Acceptor) Serve(ctx context.Context, l *net.TCPListener) error {
+func (a *Acceptor) Serve(ctx context.Context, l Listener) error {
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
 		slog.Info("stopping")
@@ -155,7 +163,7 @@
 }
 
 // accept accepts connections until the listener is closed, or until its deadline passes after the end of the context.
-func (a *Acceptor) accept(ctx context.Context, l *net.TCPListener, group *errgroup.Group) error {
+func (a *Acceptor) accept(ctx context.Context, l Listener, group *errgroup.Group) error {
 	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now()}
 	for failing, lastRound := false, false; ; {
 		queue.age()
@@ -172,7 +180,9 @@
 			continue
 		case err != nil && errors.Is(err, net.ErrClosed):
 			return err
-		case err != nil: // out of file descriptors, or a connection that was reset before it was accepted
+		case isNetworkError(err): // of the connection that would have been accepted
+			continue
+		case err != nil: // for want of resources of this machine
 			if !failing {
 				slog.Error("accept_failed", "error", err)
 			}
@@ -206,6 +216,19 @@
 	}
 }
 
+// isNetworkError reports whether accepting failed because of an error on the new connection. Linux passes these on, and
+// the next connection may be accepted at once.
+func isNetworkError(err error) bool {
+	for _, pending := range []syscall.Errno{syscall.ECONNABORTED, syscall.EPROTO, syscall.ENETDOWN, syscall.ENOPROTOOPT,
+		syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
+		syscall.ECONNRESET, syscall.EINTR} {
+		if errors.Is(err, pending) {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitAcceptCapacity waits briefly for connections that are closing, and returns false if none closes in time.
 // Meanwhile other connections wait in the listener's queue while their clients' time runs. So if that queue has not
 // been empty for maxBacklogAge, it does not wait, unless most connections are of clients that have sent no command:
@@ -239,7 +262,7 @@
 
 // backlog observes the listener's queue of connections that have not been accepted.
 type backlog struct {
-	listener *net.TCPListener
+	listener Listener
 	clock    exchange.Clock
 
 	// lastEmpty is when the queue was last seen empty.
--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"gorsewell/choice"
@@ -50,9 +52,9 @@
 
 // connect opens a connection for the job, then executes it and later jobs until the connection closes.
 func (p *Pool) connect(ctx context.Context, j *job, addr string) {
-	netConn, err := dialer.DialContext(ctx, "tcp", addr)
+	netConn, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
-		p.connectFailed(j)
+		p.connectFailed(j, err)
 		return
 	}
 	defer netConn.Close()
@@ -63,7 +65,7 @@
 	netConn.SetDeadline(deadline)
 	defer c.answerMemory.Release()
 	if !p.attach(j, c) || !c.startup() {
-		p.connectFailed(j)
+		p.connectFailed(j, nil)
 		return
 	}
 	for j != nil {
@@ -81,17 +83,33 @@
 	}
 }
 
-// connectFailed finishes a job for which no connection could be opened. The server is not at fault if the job's beginBy
-// was earlier than its deadline and ended the connection attempt: then the result is NotSent.
-func (p *Pool) connectFailed(j *job) {
+// connectFailed finishes a job for which no connection could be opened. The server is not at fault, and the result is
+// NotSent, if this machine had no resources for a connection, or if the job's beginBy was earlier than its deadline and
+// ended the attempt. dialError is nil if the connection failed later.
+func (p *Pool) connectFailed(j *job, dialError error) {
 	p.counts.ServerRefused.Add(1)
 	result := exchange.AttemptResult{Result: choice.NoConnection, Position: choice.LongPast}
+	if isLocalError(dialError) {
+		p.localErrors.Info("connect_failed_locally", slog.String("error", dialError.Error()))
+		result.Result = choice.NotSent
+	}
 	if j.beginBy < j.deadline && p.clock.Now() >= j.beginBy {
 		result.Result = choice.NotSent
 	}
 	p.finish(j, result)
 }
 
+// isLocalError reports whether a connection could not be opened for want of resources of this machine.
+func isLocalError(err error) bool {
+	for _, local := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EADDRNOTAVAIL, syscall.EAGAIN} {
+		if errors.Is(err, local) {
+			return true
+		}
+	}
+	return false
+}
+
 // attach records the connection of the job. It returns false if the job was cancelled in the meantime.
 func (p *Pool) attach(j *job, c *conn) bool {
 	p.mu.Lock()
--- a/internal/serverside/pool.go
+++ b/internal/serverside/pool.go
@@ -15,6 +15,7 @@
 	"gorsewell/choice"
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
+	"gorsewell/internal/eventlog"
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/invariant"
 	"gorsewell/internal/membudget"
@@ -32,6 +33,12 @@
 	// answers limits the memory of long messages from servers.
 	answers *membudget.Budget
 
+	// localErrors logs connections that could not be opened for want of resources of this machine.
+	localErrors *eventlog.Log
+
+	// dial opens a connection.
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	// quietPeriod is the constant of this name, except in tests.
 	quietPeriod time.Duration
 
@@ -98,7 +105,8 @@
 	settings *deployment.Settings, maxConns int) *Pool {
 	group, ctx := errgroup.WithContext(ctx)
 	return &Pool{clock: clock, events: events, counts: counts, settings: settings, maxConns: maxConns,
-		answers: newAnswerBudget(settings.MemoryBytes), quietPeriod: quietPeriod, ctx: ctx, group: group, addrs: map[uint32]string{}, idle: map[uint32][]*conn{},
+		answers: newAnswerBudget(settings.MemoryBytes), quietPeriod: quietPeriod,
+		localErrors: eventlog.New(), dial: dialer.DialContext, ctx: ctx, group: group, addrs: map[uint32]string{}, idle: map[uint32][]*conn{},
 		sends: map[*exchange.Exchange]*job{}, probes: map[uint32]*job{}}
 }
 
