Ops with short waits are tried although the answer times known forbid it

Seen with one client on cmd/standin's settings and servers that answer in 1 ms: of 30 look-ups each that wait 30, 100, 217 and 400 ms none was served, of 800 ms all. Cause: until there are samples a quarter of the latency target stands for the answer time, and the least that the histogram resolves is a 32nd of it; only sends change that, and it forbids them. A first try of an op that may be repeated is sent all the same while no op of its group is held: one at first, one more with each success, none for a latency target after a failure.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,6 +97,7 @@
 	answerTimes    histogram     // with the latency target as unit
 	lastArrival    time.Duration // when the newest op of the type came in
 	meanArrivalGap time.Duration // mean time between two ops of the type
+	tries          tries
 }
 
 func (t *opType) meanAnswerTime() time.Duration { return t.answerTimes.mean(t.Target) }
@@ -126,6 +127,8 @@
 	retryFrom       time.Duration // when the client may retry, by the time named in the busy reply
 	failsEverywhere bool          // two servers without other trouble answered it with an error
 	held            bool          // it waits in its group's list of held ops
+	isRetry         bool          // its client has tried it before
+	tried           bool          // its open send is a try, see tries
 	declined        bool          // a server declined it for its role or its position
 	done            bool          // it has its final answer, or needs none
 }
--- a/choice/results.go
+++ b/choice/results.go
@@ -20,6 +20,7 @@
 		return
 	}
 	s, o.sentTo, o.lastResult = o.sentTo, nil, result
+	o.tryEnded(now, result)
 	s.openSends = slices.DeleteFunc(s.openSends, func(p *op) bool { return p == o })
 	neverRan := result.NeverRan()
 	if neverRan && o.mayHaveRunAt == o.sentAt {
--- a/choice/retries.go
+++ b/choice/retries.go
@@ -25,6 +25,7 @@
 //
 // A marked retry without a match counts as having a share of its latency target left, see holdDivisor.
 func (g *Gateway) matchRetry(now time.Duration, o *op, isRetry bool) {
+	o.isRetry = isRetry
 	gap, found := o.opType.meanArrivalGap*time.Duration(len(g.groupOrder)), false
 	if isRetry {
 		o.targetEnd = now + o.opType.Target/holdDivisor
@@ -34,7 +35,7 @@
 			(isRetry || !g.retriesMarked && (e.session != 0 || now < e.endedAt+gap ||
 				now >= e.retryFrom && now < e.retryFrom+min(gap, g.shortWait)))
 		if matches {
-			found, o.targetEnd, o.retriesEnd = true, e.targetEnd, e.retriesEnd
+			found, o.isRetry, o.targetEnd, o.retriesEnd = true, true, e.targetEnd, e.retriesEnd
 			// If the client left while a server worked on its op, it waits for less time than the op takes and would
 			// leave again. So the latency target of its retry counts as missed.
 			if e.sends > 0 && e.endedAt < e.targetEnd && e.endedAt-e.sentAt > e.opType.meanAnswerTime()/2 {
--- a/choice/routing.go
+++ b/choice/routing.go
@@ -10,11 +10,22 @@
 // place sends an op to a server that is fit for it, holds it if there is none now, or gives it up if a send can no
 // longer be useful or is no longer allowed.
 func (g *Gateway) place(now time.Duration, o *op) {
-	if reason := g.reasonToGiveUp(now, o); reason != NoReason {
+	reason := g.reasonToGiveUp(now, o)
+	isTry := reason == ReasonNoTimeLeft && g.mayTry(now, o)
+	if reason != NoReason && !isTry {
 		g.giveUp(now, o, reason)
-	} else if s := g.chooseServer(now, o); s != nil && g.send(now, o, s) {
+		return
+	}
+	s := g.chooseServer(now, o)
+	switch {
+	case s != nil && g.send(now, o, s):
 		o.removeFromHeld()
-	} else if !o.held {
+		if isTry {
+			o.tryBegan()
+		}
+	case isTry:
+		g.giveUp(now, o, reason)
+	case !o.held:
 		g.hold(now, o)
 	}
 }
--- a/cmd/gorsewell/soak_test.go
+++ b/cmd/gorsewell/soak_test.go
@@ -33,6 +33,10 @@
 	// leaveLimit is how long after its client has left an attempt may begin, with the slack of sockets.
 	leaveLimit = 150 * time.Millisecond
 
+	// toldSlack is by how much the time that a server is told may exceed what is left to the client, with the slack of
+	// sockets.
+	toldSlack = 200 * time.Millisecond
+
 	// earliestKill is when the process may be killed after SIGTERM: the longest op timeout and 0.7 s.
 	earliestKill = 3700 * time.Millisecond
 
@@ -54,6 +58,7 @@
 	attempts   map[string][]time.Time // by id: when servers got it
 	executed   map[string]int         // by id of a write: how often it ran
 	leftAt     map[string]time.Time   // by id: when its client left
+	expiresAt  map[string]time.Time   // by id of a usual command: when its client's time is up
 	termAt     time.Time
 	killed     bool
 	violations []string
@@ -83,7 +88,15 @@
 	id, _, _ := strings.Cut(rest, ",")
 	s.mu.Lock()
 	s.attempts[id] = append(s.attempts[id], time.Now())
+	expiresAt, isUsual := s.expiresAt[id]
 	s.mu.Unlock()
+	if _, told, _ := strings.Cut(rest, ",d="); isUsual {
+		told, _, _ = strings.Cut(told, ",")
+		ms, err := strconv.Atoi(told)
+		if left := time.Until(expiresAt); err != nil || time.Duration(ms)*time.Millisecond > left+toldSlack {
+			s.violate("%s: a server was told %q ms with %v left to the client", id, told, left)
+		}
+	}
 	if strings.HasPrefix(query, "INSERT") && role != "primary" {
 		return standin.Failure("25006", role, position), true
 	}
@@ -147,6 +160,9 @@
 		wait := time.Duration(100+s.random(700)) * time.Millisecond
 		id, text := s.statement(s.random(4) == 0, wait, 1)
 		sentAt := time.Now()
+		s.mu.Lock()
+		s.expiresAt[id] = sentAt.Add(wait)
+		s.mu.Unlock()
 		c.SetDeadline(sentAt.Add(wait + lateAnswerLimit))
 		got, err := c.Query(text)
 		if got == "$" && wasUnread(c) {
@@ -355,7 +371,7 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &soak{rng: rand.New(rand.NewPCG(uint64(seed), 0)), nonRetrying: seed%2 == 0, crowded: seed%3 == 0,
-				attempts: map[string][]time.Time{}, executed: map[string]int{}, leftAt: map[string]time.Time{}}
+				attempts: map[string][]time.Time{}, executed: map[string]int{}, leftAt: map[string]time.Time{}, expiresAt: map[string]time.Time{}}
 			log := s.play(t)
 			for _, v := range s.violations {
 				t.Error(v)
