--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -3,29 +3,24 @@
 package clientside
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"hash/maphash"
 	"log/slog"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"gorsewell/choice"
 	"gorsewell/internal/counters"
 	"gorsewell/internal/deployment"
 	"gorsewell/internal/eventlog"
 	"gorsewell/internal/exchange"
-	"gorsewell/internal/membudget"
-	"gorsewell/internal/pgwire"
 )
 
 // Limits and periods, most of which follow from the documented behaviour of clients and of the platform.
@@ -229,115 +224,6 @@
 	return false
 }
 
-// awaitAcceptCapacity waits briefly for connections that are closing, and returns false if none closes in time.
-// Meanwhile other connections wait in the listener's queue while their clients' time runs. So if that queue has not
-// been empty for maxBacklogAge, it does not wait, unless most connections are of clients that have sent no command:
-// those close within moments.
-func (a *Acceptor) awaitAcceptCapacity(b *backlog) bool {
-	for i := 0; a.counts.ClientOpen.Load() > a.maxConns+overflowConns; i++ {
-		if i >= overflowConns || b.age() >= maxBacklogAge && !a.mostlySilent() {
-			return false
-		}
-		a.ensureCapacity(nil)
-		select {
-		case <-a.connClosed:
-		case <-time.After(firstBytesWait):
-		}
-	}
-	return true
-}
-
-// mostlySilent reports whether more than half of the open connections have sent no valid command.
-func (a *Acceptor) mostlySilent() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	silent := 0
-	for c := range a.conns {
-		if !c.sentCommand.Load() {
-			silent++
-		}
-	}
-	return 2*silent > len(a.conns)
-}
-
-// backlog observes the listener's queue of connections that have not been accepted.
-type backlog struct {
-	listener Listener
-	clock    exchange.Clock
-
-	// lastEmpty is when the queue was last seen empty.
-	lastEmpty time.Duration
-}
-
-// age returns an upper limit of the time for which the queue has not been empty.
-func (b *backlog) age() time.Duration {
-	waiting, now := true, b.clock.Now()
-	if rawConn, err := b.listener.SyscallConn(); err == nil {
-		rawConn.Control(func(fd uintptr) { waiting = poll(fd, unix.POLLIN) })
-	}
-	if !waiting {
-		b.lastEmpty = now
-	}
-	return now - b.lastEmpty
-}
-
-// ensureCapacity reports whether at most maxConns connections stay open once those being evicted are closed. If not, it
-// evicts the connections that have been quiet for longest, among those without pending replies that have been idle for
-// idleTimeout or have sent no command for firstBytesWait. So clients that keep an unused connection, or connect and
-// send nothing, do not keep out those that send commands. The connection requester, which may be nil, is not evicted.
-func (a *Acceptor) ensureCapacity(requester *conn) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now, remaining := a.clock.Now(), int64(0)
-	var evictable []*conn
-	for c := range a.conns {
-		if c.evicting.Load() {
-			continue
-		}
-		remaining++
-		idle := now - time.Duration(c.lastActivity.Load())
-		if c != requester && c.pendingReplies.Load() == 0 &&
-			(idle >= idleTimeout || idle >= firstBytesWait && !c.sentCommand.Load()) {
-			evictable = append(evictable, c)
-		}
-	}
-	if remaining <= a.maxConns {
-		return true
-	}
-	sortByActivity(evictable)
-	for _, c := range evictable[:min(int64(len(evictable)), remaining-a.maxConns)] {
-		remaining--
-		a.evict(c)
-	}
-	return remaining <= a.maxConns
-}
-
-// sortByActivity sorts connections by the time of their last activity, the earliest first.
-func sortByActivity(conns []*conn) {
-	slices.SortFunc(conns, func(first, second *conn) int {
-		return cmp.Compare(first.lastActivity.Load(), second.lastActivity.Load())
-	})
-}
-
-// evict makes a connection close unless a command arrives at that moment. The caller holds the mutex.
-func (a *Acceptor) evict(c *conn) {
-	a.counts.ClientIdleClosed.Add(1)
-	c.evicting.Store(true)
-	c.net.SetReadDeadline(exchange.Past)
-}
-
-// awaitSessionCapacity waits briefly until there is capacity for the connection's session: connections that were
-// accepted just before may turn out to be evictable.
-func (a *Acceptor) awaitSessionCapacity(c *conn) bool {
-	for range 3 {
-		if a.ensureCapacity(c) {
-			return true
-		}
-		time.Sleep(firstBytesWait)
-	}
-	return a.ensureCapacity(c)
-}
-
 // claimID records the id of an op that comes in. It returns false if the id must not be used.
 func (a *Acceptor) claimID(id []byte) bool {
 	a.mu.Lock()
@@ -352,126 +238,3 @@
 	defer a.mu.Unlock()
 	a.ids.Release(a.clock.Now(), hash, a.settings.OpTypes[op.OpType].Effect, op.MayHaveRun)
 }
-
-// conn is one client connection. Its reader goroutine owns all fields down to finalBytes but replies, its writer
-// goroutine does all writes.
-type conn struct {
-	acceptor   *Acceptor
-	net        *net.TCPConn
-	raw        syscall.RawConn
-	readBuffer pgwire.ReadBuffer
-
-	// ahead is input that was read ahead.
-	ahead readAhead
-
-	// flow is the connection's input in the order of turns.
-	flow *flow
-
-	// readAt is the time of the last read that returned bytes.
-	readAt time.Duration
-
-	// replies holds the replies in the order of their commands.
-	replies chan reply
-
-	// inputMemory is reserved for the long message that is being read. The acceptor's mutex is held while it is set.
-	inputMemory membudget.Reservation
-
-	// openOps holds the ops of the connection that have not ended. Ended ones are removed when an op is added.
-	openOps []*exchange.Exchange
-
-	// inputDeadline is when the message that is being read has to be complete, zero if that time is not limited.
-	inputDeadline time.Time
-
-	// idleGraceEnd is until when the connection may be idle while it is closing, zero before it is.
-	idleGraceEnd time.Time
-
-	// finalBytesKnown is true once finalBytes has been set.
-	finalBytesKnown bool
-
-	// finalBytes is how many bytes may still be read at the end of a planned stop.
-	finalBytes int
-
-	// mu guards readPaused, and with it the read deadlines that pause and resume the reader.
-	mu sync.Mutex
-
-	// readPaused is true while the reader waits for a reply to be written.
-	readPaused bool
-
-	// pendingReplies is the number of replies that are queued and not written.
-	pendingReplies atomic.Int32
-
-	// pendingCommands is the number of those that answer a command.
-	pendingCommands atomic.Int32
-
-	// lastActivity is the time of the last read or reply, as a duration since the start of the clock.
-	lastActivity atomic.Int64
-
-	// sentCommand is true once the client has sent a valid command.
-	sentCommand atomic.Bool
-
-	// evicting is true if the connection was chosen to be closed and nothing has been received since.
-	evicting atomic.Bool
-
-	// surplus is true if there is no room for the connection.
-	surplus atomic.Bool
-
-	// readingDone is true once no further command is read. The connection closes after its pending replies.
-	readingDone atomic.Bool
-}
-
-// newConn returns a connection that has to be served by run.
-func (a *Acceptor) newConn(netConn *net.TCPConn) (*conn, error) {
-	raw, err := netConn.SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{acceptor: a, net: netConn, raw: raw, flow: newFlow(),
-		readBuffer: pgwire.ReadBuffer{MaxMessage: a.settings.MaxMessageBytes},
-		replies:    make(chan reply, choice.MaxOpenCommands+extraReplies)}
-	c.lastActivity.Store(int64(a.clock.Now()))
-	return c, nil
-}
-
-// run serves the connection until either side closes it. Replies to commands that were read are written before that,
-// unless the client has disconnected.
-func (c *conn) run() {
-	a := c.acceptor
-	var group errgroup.Group
-	group.Go(c.writeReplies)
-	reason := c.read()
-	c.readBuffer = pgwire.ReadBuffer{} // what it holds is not processed any more
-	c.ahead.release()
-	c.releaseInput()
-	if reason != errClientGone {
-		reason = c.awaitReplies(reason)
-	}
-	if reason == errClientGone {
-		for _, op := range c.openOps {
-			a.dispatcher.ClientLeft(op)
-		}
-	}
-	close(c.replies)
-	group.Wait()
-	c.logClose(reason)
-	switch { // closing a socket with unread bytes sends a reset, which could discard the last reply
-	case reason == errRejected:
-		c.net.CloseWrite()
-		c.net.SetReadDeadline(time.Now().Add(closeGrace))
-		for err := error(nil); err == nil; {
-			_, err = c.discardInput()
-		}
-	case reason == errClosing && c.isClosing():
-		// A command that arrives now stays unread, so that the client gets a reset.
-		c.net.CloseWrite()
-		time.Sleep(closeGrace)
-	}
-	c.net.Close()
-	a.mu.Lock()
-	delete(a.conns, c)
-	a.mu.Unlock()
-	a.counts.ClientOpen.Add(-1)
-	select {
-	case a.connClosed <- struct{}{}:
-	default:
-	}
-}
