--- a/cmd/gorsewell/main_test.go
+++ b/cmd/gorsewell/main_test.go
@@ -55,9 +55,9 @@
 	change func(config string) string, env ...string) (*exec.Cmd, string, *strings.Builder, string) {
 	t.Helper()
 	// Each gateway has its own address, as a client's connection could take a free port before the gateway listens on
-	// it.
+	// it. Those of another test process are others.
 	n := addressCount.Add(1)
-	addr := fmt.Sprintf("127.77.%d.%d:5432", n>>8, n&0xff)
+	addr := fmt.Sprintf("127.%d.%d.%d:5432", 64+os.Getpid()%128, n>>8, n&0xff)
 	group, err := standin.Start(addr, answer)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/gorsewell/soak_test.go
+++ b/cmd/gorsewell/soak_test.go
@@ -62,6 +62,9 @@
 	termAt     time.Time
 	killed     bool
 	violations []string
+
+	// slowestReset is the longest time between the end of a connection and the reset that tells of unread input.
+	slowestReset time.Duration
 }
 
 // violate records a broken rule.
@@ -165,7 +168,7 @@
 		s.mu.Unlock()
 		c.SetDeadline(sentAt.Add(wait + lateAnswerLimit))
 		got, err := c.Query(text)
-		if got == "$" && wasUnread(c) {
+		if got == "$" && s.wasUnread(c) {
 			err = syscall.ECONNRESET
 		}
 		s.judge(id, c.LocalAddr().String(), sentAt, got, err)
@@ -180,12 +183,16 @@
 }
 
 // wasUnread reports whether a connection that the gateway has closed was reset, which tells that it had unread input.
-func wasUnread(c *standin.Client) bool {
+func (s *soak) wasUnread(c *standin.Client) bool {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	for end := time.Now().Add(time.Second); err == nil && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	start := time.Now()
+	for ; err == nil && time.Since(start) < time.Second; time.Sleep(time.Millisecond) {
 		code := 0
 		raw.Control(func(fd uintptr) { code, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
 		if code != 0 {
+			s.mu.Lock()
+			s.slowestReset = max(s.slowestReset, time.Since(start))
+			s.mu.Unlock()
 			return true
 		}
 	}
@@ -195,7 +202,7 @@
 // judge checks the answer to a command of a usual client.
 func (s *soak) judge(id, client string, sentAt time.Time, got string, err error) {
 	s.mu.Lock()
-	termAt, killed, executed := s.termAt, s.killed, s.executed[id]
+	termAt, killed, executed, attempts := s.termAt, s.killed, s.executed[id], len(s.attempts[id])
 	s.mu.Unlock()
 	took := time.Since(sentAt)
 	reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -213,7 +220,8 @@
 			s.violate("%s ran and its connection was reset after %v: %v", id, took, err)
 		}
 	default:
-		s.violate("%s of %s: got %q, %v after %v, sent %v after SIGTERM (killed: %v)", id, client, got, err, took, sentAt.Sub(termAt), killed)
+		s.violate("%s of %s: got %q, %v after %v, sent %v after SIGTERM, %d attempts (killed: %v)", id, client, got, err, took, sentAt.Sub(termAt),
+			attempts, killed)
 	}
 }
 
@@ -382,7 +390,7 @@
 			if s.answered.Load() == 0 || strings.Contains(log, "event=broken") || strings.Contains(log, "panic") {
 				t.Errorf("got %d answers; log %s", s.answered.Load(), log)
 			}
-			t.Logf("%d usual commands acked, %d commands left, killed: %v", s.answered.Load(), len(s.leftAt), s.killed)
+			t.Logf("%d usual commands acked, %d commands left, killed: %v, slowest reset %v", s.answered.Load(), len(s.leftAt), s.killed, s.slowestReset)
 		})
 	}
 }
