--- a/cmd/gorsewell/flood_test.go
+++ b/cmd/gorsewell/flood_test.go
@@ -37,6 +37,9 @@
 	// play, if not nil, plays a client that does not send all it can on one connection. It returns when it has to connect
 	// again.
 	play func(c *standin.Client)
+
+	// silent clients connect and close without a startup packet.
+	silent bool
 }
 
 // floodQuery returns a lookup with the given id, op type, wait in milliseconds and group.
@@ -49,6 +52,7 @@
 func floodKinds() []floodKind {
 	id := func(client, n int) string { return fmt.Sprintf("f%dx%d", client, n) }
 	return []floodKind{
+		{name: "silent", silent: true},
 		{name: "one at a time", play: playOneAtATime},
 		{name: "reconnecting", play: func(c *standin.Client) {
 			c.WriteBytes([]byte("Z\x00\x00\x00\x04"))
@@ -109,15 +113,21 @@
 // flood sends input of one kind at full speed until it cannot connect. It calls connected whenever it has connected.
 func flood(addr string, kind floodKind, client int, connected func()) {
 	for n := 0; ; {
-		c, err := standin.Dial(addr)
+		dial := standin.Dial
+		if kind.silent {
+			dial = standin.DialTCP
+		}
+		c, err := dial(addr)
 		if err != nil {
 			return
 		}
 		connected()
 		c.SetDeadline(time.Time{})
-		if kind.play != nil {
+		switch {
+		case kind.silent:
+		case kind.play != nil:
 			kind.play(c)
-		} else {
+		default:
 			n = pipeline(c, kind, client, n)
 		}
 		c.Close()
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -89,7 +89,9 @@
 	// maxConns is the maximum number of connections that stay open. Up to overflowConns more are accepted.
 	maxConns int64
 
-	turns *turns
+	// turns has all input processed in turns, and acceptFlow is that of accepting connections.
+	turns      *turns
+	acceptFlow *flow
 
 	// pipelining is the number of connections with several pending commands.
 	pipelining atomic.Int32
@@ -116,7 +118,7 @@
 func New(clock exchange.Clock, dispatcher exchange.Dispatcher, counts *counters.Set, settings *deployment.Settings,
 	maxConns int) *Acceptor {
 	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, events: eventlog.New(), settings: settings, opTypes: map[string]uint8{},
-		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
+		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), acceptFlow: newFlow(), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
 		connClosed: make(chan struct{}, 1), ids: choice.NewIDGuard(), idSeed: maphash.MakeSeed()}
 	for i, name := range settings.OpTypeNames {
 		a.opTypes[name] = uint8(i)
@@ -162,7 +164,7 @@
 	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now()}
 	for failing, lastRound := false, false; ; {
 		queue.age()
-		netConn, err := l.AcceptTCP()
+		netConn, err := a.acceptNext(l, queue)
 		switch {
 		case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
 			if lastRound {
@@ -188,27 +190,46 @@
 		failing = false
 		a.counts.ClientConns.Add(1)
 		a.counts.ClientOpen.Add(1)
-		if !a.awaitAcceptCapacity(queue) {
-			a.counts.ClientRefused.Add(1)
-			a.counts.ClientOpen.Add(-1)
-			refuseArrived(netConn, a.settings.MaxMessageBytes)
-			netConn.Close()
-			continue
-		}
-		c, err := a.newConn(netConn)
-		if err != nil { // it is closed
-			a.counts.ClientOpen.Add(-1)
-			continue
-		}
-		a.mu.Lock()
-		a.conns[c] = struct{}{}
-		a.mu.Unlock()
-		a.ensureCapacity(nil)
-		group.Go(func() error {
-			c.run()
-			return nil
-		})
+		hasRoom := a.awaitAcceptCapacity(queue)
+		a.turns.await(a.acceptFlow)
+		a.begin(netConn, hasRoom, group)
+		a.turns.end(a.acceptFlow)
+	}
+}
+
+// acceptNext accepts a connection. The time that this takes counts with the next turn, unless it was spent on waiting.
+func (a *Acceptor) acceptNext(l Listener, queue *backlog) (*net.TCPConn, error) {
+	a.acceptFlow.Backlogged = queue.waiting
+	start := a.clock.Now()
+	netConn, err := l.AcceptTCP()
+	if queue.waiting {
+		a.acceptFlow.readTime += a.clock.Now() - start
 	}
+	return netConn, err
+}
+
+// begin serves a new connection if there is room for it, and refuses it otherwise.
+func (a *Acceptor) begin(netConn *net.TCPConn, hasRoom bool, group *errgroup.Group) {
+	if !hasRoom {
+		a.counts.ClientRefused.Add(1)
+		a.counts.ClientOpen.Add(-1)
+		refuseArrived(netConn, a.settings.MaxMessageBytes)
+		netConn.Close()
+		return
+	}
+	c, err := a.newConn(netConn)
+	if err != nil { // it is closed
+		a.counts.ClientOpen.Add(-1)
+		return
+	}
+	a.mu.Lock()
+	a.conns[c] = struct{}{}
+	a.mu.Unlock()
+	a.ensureCapacity(nil)
+	group.Go(func() error {
+		c.run()
+		return nil
+	})
 }
 
 // isNetworkError reports whether accepting failed because of an error on the new connection. Linux passes these on, and
--- a/internal/clientside/capacity.go
+++ b/internal/clientside/capacity.go
@@ -48,15 +48,19 @@
 
 	// lastEmpty is when the queue was last seen empty.
 	lastEmpty time.Duration
+
+	// waiting tells whether there were connections in it.
+	waiting bool
 }
 
 // age returns an upper limit of the time for which the queue has not been empty.
 func (b *backlog) age() time.Duration {
-	waiting, now := true, b.clock.Now()
+	now := b.clock.Now()
+	b.waiting = true
 	if rawConn, err := b.listener.SyscallConn(); err == nil {
-		rawConn.Control(func(fd uintptr) { waiting = poll(fd, unix.POLLIN) })
+		rawConn.Control(func(fd uintptr) { b.waiting = poll(fd, unix.POLLIN) })
 	}
-	if !waiting {
+	if !b.waiting {
 		b.lastEmpty = now
 	}
 	return now - b.lastEmpty
