Nothing is read ahead at the end of a planned stop

Found in reading docs/endings.md beside the new code: at the end of a planned stop only what has arrived is read, and what stays unread resets the connection, which tells its client. Reading ahead went past that, and dropped what it had read. No op is sent any more then, so it is not needed.

--- a/internal/clientside/leave_test.go
+++ b/internal/clientside/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -81,6 +82,44 @@
 	}
 }
 
+// At the end of a planned stop commands that are not processed any more were read ahead, and lost as no reset told of them.
+func TestNothingIsReadAheadAtEndOfStop(t *testing.T) {
+	a, _, _, _ := startAcceptor(t, 8, func(*exchange.Exchange) {})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	c, err := a.newConn(accepted.(*net.TCPConn))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client.Write(numberedQueries(3))
+	waitUntil(t, "the commands have arrived", func() bool { return unreadBytes(c.raw) > 0 })
+	unread := unreadBytes(c.raw)
+	a.finalReads.Store(true)
+	if err := c.confirmPresence(); err != nil || c.ahead.size != 0 || unreadBytes(c.raw) != unread {
+		t.Errorf("got %v and %d bytes read ahead, want none", err, c.ahead.size)
+	}
+	a.finalReads.Store(false)
+	if err := c.confirmPresence(); err != nil || c.ahead.size != unread {
+		t.Errorf("got %v and %d bytes read ahead before the end, want %d", err, c.ahead.size, unread)
+	}
+	a.finalReads.Store(true)
+	client.Close()
+	waitUntil(t, "the leaving is noticed", func() bool { return c.confirmPresence() == errClientGone })
+}
+
 // A non-retryable op whose client had left ran again when its id came again.
 func TestIDOfNonRetryableOpThatMayHaveRunIsNotTakenAgain(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/clientside/readahead.go
+++ b/internal/clientside/readahead.go
@@ -71,6 +71,9 @@
 	if c.clientClosed() {
 		return 0, errClientGone
 	}
+	if c.acceptor.finalReads.Load() { // no op is sent any more, and what is not processed has to stay unread
+		return 0, nil
+	}
 	arrived := unreadBytes(c.raw)
 	if arrived == 0 {
 		return 0, nil
