A send does not begin for a client that is known to have disconnected

The process was stopped for up to 0.15 s just then; when it goes on, a send that was decided before may be written before the client's end is handled. Test: NothingIsSentForDisconnectedClient. Whether the rig itself was late is not known: it says so from now on.

--- a/cmd/gorsewell/soak_test.go
+++ b/cmd/gorsewell/soak_test.go
@@ -63,6 +63,10 @@
 	killed     bool
 	violations []string
 
+	// rigStall is the longest time for which the test's own process did not get to run, and rigStallEnd its end.
+	rigStall    time.Duration
+	rigStallEnd time.Time
+
 	// slowestReset is the longest time between the end of a connection and the reset that tells of unread input.
 	slowestReset time.Duration
 }
@@ -74,6 +78,21 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
+// watchRig observes how long the test's own process does not get to run. What it sees meanwhile is late by itself.
+func (s *soak) watchRig() {
+	const interval = 5 * time.Millisecond
+	for last := time.Now(); !s.stopped.Load(); {
+		time.Sleep(interval)
+		now := time.Now()
+		if stall := now.Sub(last) - interval; stall > s.rigStall {
+			s.mu.Lock()
+			s.rigStall, s.rigStallEnd = stall, now
+			s.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // random returns a random number below n.
 func (s *soak) random(n int) int {
 	s.mu.Lock()
@@ -97,7 +116,8 @@
 		told, _, _ = strings.Cut(told, ",")
 		ms, err := strconv.Atoi(told)
 		if left := time.Until(expiresAt); err != nil || time.Duration(ms)*time.Millisecond > left+toldSlack {
-			s.violate("%s: a server was told %q ms with %v left to the client", id, told, left)
+			s.violate("%s: a server was told %q ms with %v left to the client, at %s", id, told, left,
+				time.Now().UTC().Format("05.000"))
 		}
 	}
 	if strings.HasPrefix(query, "INSERT") && role != "primary" {
@@ -280,6 +300,7 @@
 	})
 	s.addr = addr
 	var clients sync.WaitGroup
+	clients.Go(s.watchRig)
 	for range 16 {
 		clients.Go(s.playUsualClient)
 	}
@@ -390,7 +411,8 @@
 			if s.answered.Load() == 0 || strings.Contains(log, "event=broken") || strings.Contains(log, "panic") {
 				t.Errorf("got %d answers; log %s", s.answered.Load(), log)
 			}
-			t.Logf("%d usual commands acked, %d commands left, killed: %v, slowest reset %v", s.answered.Load(), len(s.leftAt), s.killed, s.slowestReset)
+			t.Logf("%d usual commands acked, %d commands left, killed: %v, slowest reset %v, the rig stood still for up to %v until %s",
+				s.answered.Load(), len(s.leftAt), s.killed, s.slowestReset, s.rigStall, s.rigStallEnd.UTC().Format("05.000"))
 		})
 	}
 }
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -397,7 +397,7 @@
 	op := &exchange.Exchange{Statement: s, ClientID: string(s.ID), OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
 		Deadline: c.readAt + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
 		Target:   c.acceptor.settings.OpTypes[opType].Target, MinPosition: choice.LongPast, Memory: memory,
-		Done: make(chan struct{})}
+		ClientClosed: c.clientClosed, Done: make(chan struct{})}
 	if position, ok := c.acceptor.clock.FromUnix(s.After); ok {
 		op.MinPosition = position
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,6 +42,10 @@
 	Target      time.Duration // the latency target of the op type
 	MinPosition time.Duration // the position that a session read has to see, or choice.LongPast
 
+	// ClientClosed reports, at any time until the op has ended, whether its client is known to have disconnected. It may be
+	// nil.
+	ClientClosed func() bool
+
 	// Memory is reserved for the statement, its copies and the rest of the op.
 	Memory membudget.Reservation
 
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -35,11 +35,11 @@
 }
 
 // startJob marks the job as started and applies its deadline to the connection. It returns false if the job was
-// cancelled, its op has ended or its beginBy has passed.
+// cancelled, its op has ended, its client has disconnected or its beginBy has passed.
 func (c *conn) startJob(j *job) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if j.cancelled || j.op != nil && j.op.IsDone() || c.pool.clock.Now() >= j.beginBy {
+	if j.cancelled || j.op != nil && hasEnded(j.op) || c.pool.clock.Now() >= j.beginBy {
 		return false
 	}
 	j.started = true
@@ -47,6 +47,12 @@
 	return true
 }
 
+// hasEnded reports whether an op has ended or is about to, as its client has disconnected: that may not have been handled
+// yet.
+func hasEnded(op *exchange.Exchange) bool {
+	return op.IsDone() || op.ClientClosed != nil && op.ClientClosed()
+}
+
 // buildQuery encodes the query of the job, which is sent with a single write.
 func (c *conn) buildQuery(j *job) {
 	c.query = c.query[:0]
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -495,6 +495,19 @@
 	}
 }
 
+// A send began after its client had left, when the process stood still before that was handled.
+func TestNothingIsSentForDisconnectedClient(t *testing.T) {
+	p, ended := newPool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+	for range 2 { // on a new connection and on an idle one
+		op := newOp(t)
+		op.ClientClosed = func() bool { return true }
+		p.sendUntil(op, 0, testServer, p.testDeadline())
+		if r := ended.wait(t); r.Result != choice.NotSent || p.counts.Sent.Load() != 0 {
+			t.Errorf("got %+v and %d sends, want result NotSent", r, p.counts.Sent.Load())
+		}
+	}
+}
+
 // A job that waits for the end of its connection's quiet period has not started either. The connection is kept.
 func TestWithdrawCancelsJobInQuietPeriod(t *testing.T) {
 	p, ended := newPool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
