--- a/choice/input.go
+++ b/choice/input.go
@@ -31,10 +31,10 @@
 }
 
 const (
-	// inputShare is the part of the time that turns may take.
+	// inputShare is the part of one core's time that turns may take, if there is no other core.
 	inputShare = 0.75
 
-	// backlogShare is the part of a core's time that turns of backlogged connections may take.
+	// backlogShare is the part of the time of all cores that turns of backlogged connections may take.
 	backlogShare = 0.4
 
 	// occasionalLead is by how many turns a connection that is not backlogged comes earlier: it may have so many while each
@@ -89,13 +89,14 @@
 	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.finish, b.finish))
 }
 
-// NewInputScheduler returns the scheduler of a process that may use the given number of cores, 0 if that is not known.
+// NewInputScheduler returns the scheduler of a process that may use the given number of cores, 0 if that is not known. As
+// there is one turn at a time, turns use one core at most.
 func NewInputScheduler(now time.Duration, cores float64) *InputScheduler {
-	if cores <= 0 || cores > 1 { // turns use one core at most
+	if cores <= 0 {
 		cores = 1
 	}
-	return &InputScheduler{all: newTimeBudget(now, inputShare, inputBurst),
-		backlog: newTimeBudget(now, backlogShare*cores, backlogBurst)}
+	return &InputScheduler{all: newTimeBudget(now, min(1, inputShare*max(1, cores)), inputBurst),
+		backlog: newTimeBudget(now, min(1, backlogShare*cores), backlogBurst)}
 }
 
 // Request asks for a turn. If it returns true, the turn has begun; else Next returns the connection later.
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -89,9 +89,8 @@
 	// maxConns is the maximum number of connections that stay open. Up to overflowConns more are accepted.
 	maxConns int64
 
-	// turns has all input processed in turns, and acceptFlow is that of accepting connections.
-	turns      *turns
-	acceptFlow *flow
+	// turns has all input processed in turns.
+	turns *turns
 
 	// pipelining is the number of connections with several pending commands.
 	pipelining atomic.Int32
@@ -118,7 +117,7 @@
 func New(clock exchange.Clock, dispatcher exchange.Dispatcher, counts *counters.Set, settings *deployment.Settings,
 	maxConns int) *Acceptor {
 	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, events: eventlog.New(), settings: settings, opTypes: map[string]uint8{},
-		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), acceptFlow: newFlow(), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
+		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
 		connClosed: make(chan struct{}, 1), ids: choice.NewIDGuard(), idSeed: maphash.MakeSeed()}
 	for i, name := range settings.OpTypeNames {
 		a.opTypes[name] = uint8(i)
@@ -161,7 +160,7 @@
 
 // accept accepts connections until the listener is closed, or until its deadline passes after the end of the context.
 func (a *Acceptor) accept(ctx context.Context, l Listener, group *errgroup.Group) error {
-	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now()}
+	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now(), flow: newFlow()}
 	for failing, lastRound := false, false; ; {
 		queue.age()
 		netConn, err := a.acceptNext(l, queue)
@@ -191,19 +190,19 @@
 		a.counts.ClientConns.Add(1)
 		a.counts.ClientOpen.Add(1)
 		hasRoom := a.awaitAcceptCapacity(queue)
-		a.turns.await(a.acceptFlow)
+		a.turns.await(queue.flow)
 		a.begin(netConn, hasRoom, group)
-		a.turns.end(a.acceptFlow)
+		a.turns.end(queue.flow)
 	}
 }
 
 // acceptNext accepts a connection. The time that this takes counts with the next turn, unless it was spent on waiting.
 func (a *Acceptor) acceptNext(l Listener, queue *backlog) (*net.TCPConn, error) {
-	a.acceptFlow.Backlogged = queue.waiting
+	queue.flow.Backlogged = queue.waiting
 	start := a.clock.Now()
 	netConn, err := l.AcceptTCP()
 	if queue.waiting {
-		a.acceptFlow.readTime += a.clock.Now() - start
+		queue.flow.readTime += a.clock.Now() - start
 	}
 	return netConn, err
 }
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -286,8 +286,13 @@
 // readOnce reads n bytes into the given free space of the read buffer. It returns errClientGone for any error but a
 // timeout.
 func (c *conn) readOnce(space []byte) (n int, err error) {
-	n, err = c.readSocket(space)
-	c.readBuffer.Filled(n)
+	if left := c.readBuffer.SkipLeft(); left > len(space) && c.ahead.size == 0 && !c.acceptor.finalReads.Load() {
+		n, err = c.skipSocket(left)
+		c.readBuffer.Skipped(n)
+	} else {
+		n, err = c.readSocket(space)
+		c.readBuffer.Filled(n)
+	}
 	switch {
 	case n > 0:
 		c.readAt = c.acceptor.clock.Now()
--- a/internal/clientside/readahead.go
+++ b/internal/clientside/readahead.go
@@ -3,8 +3,7 @@
 import (
 	"errors"
 	"io"
-
-	"golang.org/x/sys/unix"
+	"syscall"
 
 	"gorsewell/internal/membudget"
 )
@@ -91,7 +90,7 @@
 	n, err = c.readNow(piece.bytes)
 	if n <= 0 {
 		memory.Release()
-		if err == unix.EAGAIN {
+		if err == syscall.EAGAIN {
 			return 0, nil
 		}
 		return 0, errClientGone
@@ -155,8 +154,8 @@
 
 // readFile reads from a descriptor, again if a signal interrupts it.
 func readFile(fd uintptr, space []byte) (n int, err error) {
-	for err = unix.EINTR; err == unix.EINTR; {
-		n, err = unix.Read(int(fd), space)
+	for err = syscall.EINTR; err == syscall.EINTR; {
+		n, err = syscall.Read(int(fd), space)
 	}
 	return n, err
 }
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -4,21 +4,44 @@
 	"errors"
 	"io"
 	"os"
+	"sync"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
+// discardPieces holds buffers for input that is discarded.
+var discardPieces = sync.Pool{New: func() any { return new([discardPiece]byte) }}
+
+// discardPiece is how many bytes of a message that is skipped are read at a time at most.
+const discardPiece = 64 << 10
+
 // readSocket reads into the given space and records whether it had to wait for input.
 func (c *conn) readSocket(space []byte) (n int, err error) {
-	c.flow.Backlogged = true
 	if n = c.ahead.take(space); n > 0 {
+		c.flow.Backlogged = true
 		return n, nil
 	}
+	return c.readWaiting(func(fd uintptr) (int, error) { return readFile(fd, space) })
+}
+
+// skipSocket reads and discards up to max bytes of a message that is skipped.
+func (c *conn) skipSocket(max int) (n int, err error) {
+	return c.readWaiting(func(fd uintptr) (int, error) {
+		piece := discardPieces.Get().(*[discardPiece]byte)
+		defer discardPieces.Put(piece)
+		return readFile(fd, piece[:min(max, len(piece))])
+	})
+}
+
+// readWaiting reads once there is input. It counts the time of the read, and records whether it had to wait.
+func (c *conn) readWaiting(read func(fd uintptr) (int, error)) (n int, err error) {
+	c.flow.Backlogged = true
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		start := c.acceptor.clock.Now()
-		n, err = readFile(fd, space)
+		n, err = read(fd)
 		c.flow.readTime += c.acceptor.clock.Now() - start
-		if err == unix.EAGAIN {
+		if err == syscall.EAGAIN {
 			c.flow.Backlogged = false
 			return false
 		}
--- a/internal/pgwire/window.go
+++ b/internal/pgwire/window.go
@@ -79,6 +79,12 @@
 // Skipping reports whether bytes are still to be skipped.
 func (b *ReadBuffer) Skipping() bool { return b.skip > 0 }
 
+// SkipLeft returns how many bytes are still to be skipped.
+func (b *ReadBuffer) SkipLeft() int { return b.skip }
+
+// Skipped records that n of the bytes to be skipped were read elsewhere and discarded. There have to be no unread bytes.
+func (b *ReadBuffer) Skipped(n int) { b.skip -= n }
+
 // discardSkipped discards those bytes to be skipped that have been read.
 func (b *ReadBuffer) discardSkipped() {
 	n := min(b.skip, b.end-b.start)
