A connection stays open when its command crosses its eviction

Seen: a connection whose command arrived in the moment in which it was chosen for eviction was answered, and closed 20 ms later as idle, though its eviction had been called off.

Cause, by a trace of the reads: the eviction sets its flag and then a read deadline in the past. If input arrives after the reader was woken and before it runs, the runtime tells it of the input and not of the deadline. The read returns bytes, the flag is cleared, and the deadline stays: the next read ends at once, and the grace period after it was taken for that of an eviction.

Change: a read that times out while nothing asks for the connection to be closed restores the deadline and goes on. This covers all deadlines that outlast their reason, such as that of a connection for which there is room again.

--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -238,7 +238,8 @@
 
 // fill reads more bytes. A read that times out is a sign that the connection has to be closed, by eviction, because of
 // the read timeout or during a planned stop. Then fill returns errClosing if no reply is pending and no command arrives
-// within a short grace period. If replies are pending it goes on reading.
+// within a short grace period. It goes on reading if replies are pending, or if the reason to close has passed: input
+// that arrives with the eviction may be read before the deadline is noticed.
 func (c *conn) fill() error {
 	for graceUsed := false; !c.isClosing(); {
 		_, err := c.readOnce(c.readBuffer.Space())
@@ -250,7 +251,7 @@
 			return err
 		case c.inputOverdue():
 			return c.fillOverdue()
-		case c.pendingReplies.Load() > 0:
+		case c.pendingReplies.Load() > 0 || !c.evicting.Load():
 			graceUsed = false
 			c.evicting.Store(false)
 			c.setReadDeadline(c.inputDeadline)
