--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -1,5 +1,5 @@
 // Package clientside accepts client connections, reads ops from them and writes the replies. Its files follow the path
-// of an op: accept, read, answer.
+// of an op: accept, startup, input, command, answer.
 package clientside
 
 import (
