The time of a command that was read ahead runs from its arrival

Seen: a client that pipelines many commands had servers told up to the whole time that its later commands had waited, beyond the 0.15 s that are allowed; their answers then came after the client's time.

Cause: input that is read ahead while 16 commands are open was stamped with the time at which it was taken from memory, not that at which it was read from the socket.

Change: each piece of input that is read ahead keeps the time of its read. It is the start of the remaining time of the commands in it.

Measured: in TestTimeOfCommandReadAheadRunsFromItsArrival, 100 commands of 32 KB whose first 16 are held for 250 ms, the 17th had a deadline 250 ms after the end of its client's time, 150 ms allowed; now all hold.

--- a/internal/clientside/conn.go
+++ b/internal/clientside/conn.go
@@ -29,7 +29,7 @@
 	// flow is the connection's input in the order of turns.
 	flow *flow
 
-	// readAt is the time of the last read that returned bytes.
+	// readAt is when the bytes that were added to the read buffer last were read from the socket.
 	readAt time.Duration
 
 	// replies holds the replies in the order of their commands.
--- a/internal/clientside/input.go
+++ b/internal/clientside/input.go
@@ -133,8 +133,7 @@
 	}
 	switch {
 	case n > 0:
-		c.readAt = c.acceptor.clock.Now()
-		c.lastActivity.Store(int64(c.readAt))
+		c.lastActivity.Store(int64(c.acceptor.clock.Now()))
 		c.evicting.Store(false)
 		return n, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/clientside/leave_test.go
+++ b/internal/clientside/leave_test.go
@@ -157,3 +157,30 @@
 		})
 	}
 }
+
+// Servers were told more time than was left to clients whose commands had been read ahead.
+func TestTimeOfCommandReadAheadRunsFromItsArrival(t *testing.T) {
+	const commands, keyBytes, held, slack = 100, 32 << 10, 250 * time.Millisecond, 150 * time.Millisecond
+	release := make(chan struct{})
+	a, d, addr, _ := startAcceptorWith(t, deployment.Settings{MemoryBytes: 256 << 20}, 8, func(op *exchange.Exchange) {
+		<-release
+		ack(op)
+	})
+	c := dial(t, addr)
+	if err := c.WriteBytes(longQueries(commands, keyBytes)); err != nil {
+		t.Fatal(err)
+	}
+	sentAt := a.clock.Now()
+	waitUntil(t, "the client has waited", func() bool { return a.clock.Now() >= sentAt+held })
+	close(release)
+	for n := range commands {
+		expect(t, c, fmt.Sprintf("v%d", n))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n, op := range d.submitted {
+		if late := op.Deadline - (sentAt + 400*time.Millisecond); late > slack {
+			t.Fatalf("command %d: got a deadline %v after the end of its client's time, want at most %v", n, late, slack)
+		}
+	}
+}
--- a/internal/clientside/readahead.go
+++ b/internal/clientside/readahead.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
 	"gorsewell/internal/membudget"
 )
@@ -29,6 +30,7 @@
 // aheadPiece is a piece of input that was read ahead.
 type aheadPiece struct {
 	bytes  []byte
+	readAt time.Duration
 	memory membudget.Reservation
 }
 
@@ -40,20 +42,20 @@
 	size int
 }
 
-// take moves bytes from the front into a buffer and returns how many.
-func (r *readAhead) take(buffer []byte) int {
+// take moves bytes from the front into a buffer and returns how many, and when they were read.
+func (r *readAhead) take(buffer []byte) (n int, readAt time.Duration) {
 	if r.size == 0 {
-		return 0
+		return 0, 0
 	}
 	front := &r.pieces[0]
-	n := copy(buffer, front.bytes)
+	n, readAt = copy(buffer, front.bytes), front.readAt
 	front.bytes = front.bytes[n:]
 	r.size -= n
 	if len(front.bytes) == 0 {
 		front.memory.Release()
 		r.pieces = r.pieces[1:]
 	}
-	return n
+	return n, readAt
 }
 
 // release drops everything.
@@ -95,8 +97,8 @@
 		}
 		return 0, errClientGone
 	}
-	c.lastActivity.Store(int64(c.acceptor.clock.Now()))
-	piece.bytes = piece.bytes[:n]
+	piece.bytes, piece.readAt = piece.bytes[:n], c.acceptor.clock.Now()
+	c.lastActivity.Store(int64(piece.readAt))
 	c.ahead.pieces = append(c.ahead.pieces, piece)
 	c.ahead.size += n
 	return n, nil
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -18,8 +18,9 @@
 
 // readSocket reads into the given space and records whether it had to wait for input.
 func (c *conn) readSocket(space []byte) (n int, err error) {
-	if n = c.ahead.take(space); n > 0 {
+	if n, readAt := c.ahead.take(space); n > 0 {
 		c.flow.Backlogged = true
+		c.readAt = readAt
 		return n, nil
 	}
 	return c.readWaiting(func(fd uintptr) (int, error) { return readFile(fd, space) })
@@ -40,7 +41,8 @@
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		start := c.acceptor.clock.Now()
 		n, err = read(fd)
-		c.flow.readTime += c.acceptor.clock.Now() - start
+		c.readAt = c.acceptor.clock.Now()
+		c.flow.readTime += c.readAt - start
 		if err == syscall.EAGAIN {
 			c.flow.Backlogged = false
 			return false
