What cold servers are sent is measured in fleets of any size

The emulator's checker of rule 4 compares work, with room for four ops. The stricter terms count ops: N + 2 x root of N + 2, and N + 3 x root of N + 3 where N is under 30. Nothing measured how near a fleet comes.

Change: a run's result has the greatest part of that limit that a cold server was sent, by gateways most of which knew of its start. A test plays fleets of 1, 2, 5 and 30 gateways, others by an environment variable, with half of the replicas restarting before a burst. The emulator's code for cold servers has a file of its own; its own checker stays as it was.

With the module's limit taken out the test fails.

--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -42,6 +42,7 @@
 	Worked       time.Duration    // work that servers began, as time of a core of speed 1
 	StaleExcused int64            // answers from old data by former primaries, which rule 5 allows
 	Broken       [5]int64         // violations by rule, from rule 1
+	Cold         ColdLoad         // the greatest part of its limit that a cold server was sent
 	Stories      []Story          // the first violations, up to maxStories
 	Events       []Event          // the first events, up to maxEvents
 	Logs         map[string]int64 // how often policies logged each line
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -61,13 +60,6 @@
 	coldWorkSum float64 // sum of coldWindow, in nanoseconds of a core of speed 1
 }
 
-// coldWork is work that arrived at a cold server.
-type coldWork struct {
-	at         time.Duration
-	work       float64 // in nanoseconds of a core of speed 1
-	startKnown bool    // its gateway knew of the server's start, or counts as knowing it
-}
-
 func (s *server) isUp() bool { return s.state == serverUp }
 
 // speedShare returns the share of its full speed that the server has, which grows after a start.
@@ -273,40 +265,6 @@
 	s.sim.returnAnswer(a, result, role, pos)
 }
 
-// countColdWork counts the work that arrives at a cold server, and crashes the server if that is too much. The crash is
-// a violation of rule 4 if at least two thirds of the work came from gateways that knew of the start.
-func (s *server) countColdWork(a *attempt) {
-	if s.startedAt <= longAgo || s.sim.world.Rules.Overload <= 0 || s.speedShare(s.sim.now) >= 1 {
-		return
-	}
-	rules := &s.sim.world.Rules
-	s.coldWindow = append(s.coldWindow, coldWork{s.sim.now, a.work, a.op.gateway.knowsStart(s)})
-	s.coldWorkSum += a.work
-	for s.coldWindow[0].at <= s.sim.now-rules.FallTime {
-		s.coldWorkSum -= s.coldWindow[0].work
-		s.coldWindow = s.coldWindow[1:]
-	}
-	// The mean capacity over the window is taken to be that at its middle, as the speed grows linearly.
-	capacity := float64(s.cores) * s.speed *
-		s.speedShare(max(s.startedAt, s.sim.now-rules.FallTime/2)) * float64(rules.FallTime)
-	slack := 4 * float64(s.sim.meanWork) // so that random bursts alone do not crash a server
-	if s.coldWorkSum <= rules.Overload*capacity+slack {
-		return
-	}
-	knownWork := 0.0
-	for _, c := range s.coldWindow {
-		if c.startKnown {
-			knownWork += c.work
-		}
-	}
-	s.sim.recordEvent("server %d pushed over while cold", s.id)
-	if knownWork >= s.coldWorkSum*2/3 {
-		s.sim.checker.recordViolation(4, a.op, fmt.Sprintf("server %d was sent %v of work in %v, %.1f times what it can do",
-			s.id, time.Duration(s.coldWorkSum).Round(time.Millisecond), rules.FallTime, s.coldWorkSum/capacity))
-	}
-	s.crash(serverOverloaded)
-}
-
 // crash takes a server down. state says how: a process ends with resets, a vanished machine without notice.
 func (s *server) crash(state condition) {
 	if !s.isUp() {
