A want of buffers on a connection does not count against its server

Seen, in a test: a write or read of a server's connection that fails with ENOBUFS or ENOMEM ended as a lost connection, and the server was avoided, though the fault is this machine's.

Change: such a write ends the send as not sent, such a read as ended by the gateway: it may have run, and the server is not avoided. Opening a connection keeps the error of its startup for the same purpose.

Measured: ErrorsOfThisMachineOnConnectionAreNotTheServers gave "no connection" before. The package passes.

--- a/internal/serverside/connect.go
+++ b/internal/serverside/connect.go
@@ -64,10 +64,14 @@
 	deadline, _ := ctx.Deadline()
 	netConn.SetDeadline(deadline)
 	defer c.answerMemory.Release()
-	if !p.attach(j, c) || !c.startup() {
+	if !p.attach(j, c) {
 		p.connectFailed(j, nil)
 		return
 	}
+	if err := c.startup(); err != nil {
+		p.connectFailed(j, err)
+		return
+	}
 	for j != nil {
 		result, reusable := c.execute(j)
 		if reusable = reusable && c.requestConfirmation(); reusable {
@@ -85,12 +89,11 @@
 
 // connectFailed finishes a job for which no connection could be opened. The server is not at fault, and the result is
 // NotSent, if this machine had no resources for a connection, or if the job's beginBy was earlier than its deadline and
-// ended the attempt. dialError is nil if the connection failed later.
-func (p *Pool) connectFailed(j *job, dialError error) {
+// ended the attempt. err is nil if the job was cancelled.
+func (p *Pool) connectFailed(j *job, err error) {
 	p.counts.ServerRefused.Add(1)
 	result := exchange.AttemptResult{Result: choice.NoConnection, Position: choice.LongPast}
-	if isLocalError(dialError) {
-		p.localErrors.Info("connect_failed_locally", slog.String("error", dialError.Error()))
+	if p.isLocalFault(err) {
 		result.Result = choice.NotSent
 	}
 	if j.beginBy < j.deadline && p.clock.Now() >= j.beginBy {
@@ -99,7 +102,16 @@
 	p.finish(j, result)
 }
 
-// isLocalError reports whether a connection could not be opened for want of resources of this machine.
+// isLocalFault reports whether a call failed for want of resources of this machine, and logs it then.
+func (p *Pool) isLocalFault(err error) bool {
+	if !isLocalError(err) {
+		return false
+	}
+	p.localErrors.Info("connection_failed_locally", slog.String("error", err.Error()))
+	return true
+}
+
+// isLocalError reports whether an error tells of a want of resources of this machine.
 func isLocalError(err error) bool {
 	for _, local := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
 		syscall.EADDRNOTAVAIL, syscall.EAGAIN} {
@@ -118,24 +130,29 @@
 	return !j.cancelled
 }
 
-// startup sends the StartupMessage and reads until the server is ready for a query. It returns false if that fails.
-func (c *conn) startup() bool {
+// errStartup means that a server has answered the startup message with something else than that it is ready.
+var errStartup = errors.New("startup refused or malformed")
+
+// startup sends the StartupMessage and reads until the server is ready for a query. It returns why that failed.
+func (c *conn) startup() error {
 	c.query = pgwire.AppendStartup(c.query[:0], user, database)
 	if _, err := c.net.Write(c.query); err != nil {
-		return false
+		return err
 	}
 	for bytesRead := 0; ; {
 		m, err := c.readMessage(nil)
+		bytesRead += 5 + len(m.Body)
 		switch {
-		case err != nil || m.Type == pgwire.ErrorResponse:
-			return false
-		case m.Type == pgwire.ReadyForQuery:
-			return len(c.readBuffer.Bytes()) == 0 // surplus bytes would be read as part of the first response
+		case err != nil:
+			return err
+		case m.Type == pgwire.ReadyForQuery && len(c.readBuffer.Bytes()) == 0:
+			return nil
+		case m.Type == pgwire.ReadyForQuery: // surplus bytes would be read as part of the first response
+			return errStartup
+		case m.Type == pgwire.ErrorResponse, bytesRead > pgwire.DefaultMaxMessage:
+			return errStartup
 		case m.Type == pgwire.Authentication && string(m.Body) != "\x00\x00\x00\x00":
-			return false
-		}
-		if bytesRead += 5 + len(m.Body); bytesRead > pgwire.DefaultMaxMessage {
-			return false
+			return errStartup
 		}
 	}
 }
--- a/internal/serverside/receive.go
+++ b/internal/serverside/receive.go
@@ -71,6 +71,8 @@
 		return a.AttemptResult, err == errReady
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.Result = choice.TimedOut
+	case c.pool.isLocalFault(err): // it may have run, and the server is not at fault
+		a.Result = choice.Cancelled
 	default:
 		a.Result = choice.Reset
 	}
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -19,7 +19,11 @@
 	c.buildQuery(j)
 	if n, err := c.net.Write(c.query); err != nil || n < len(c.query) {
 		p.counts.ServerBroken.Add(1)
-		return exchange.AttemptResult{Result: choice.NoConnection, Position: choice.LongPast}, false
+		result := exchange.AttemptResult{Result: choice.NoConnection, Position: choice.LongPast}
+		if p.isLocalFault(err) {
+			result.Result = choice.NotSent
+		}
+		return result, false
 	}
 	if j.op != nil {
 		p.counts.Sent.Add(1)
