A held session read goes to the primary while its client still waits

Seen: at an idle gateway, session reads that wait for 800 ms, right after their session's write, were all refused after 300 ms, with no send, as were those that wait for less at once.

Cause: a session read is held for a fresh replica for a quarter of its latency target, 500 ms here, and is given up once no send can be useful by the answer times known, here a quarter of the target before the end of its time. So it was given up before its hold ended, and as nothing was sent, no answer time was ever learnt.

Change: the hold ends two ticks before the last useful send, if that is earlier. For waits that leave no such time the read is tried at once.

Measured: TestSessionReadGoesToPrimaryWhileItCanBeAnswered got a busy reply in six of seven waits (30 to 800 ms) before, a send to the primary in all now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,6 +16,9 @@
 	// left.
 	holdDivisor = 4
 
+	// holdMarginTicks is how many ticks before the last useful send a held read goes to the primary.
+	holdMarginTicks = 2
+
 	// queueingDivisor: an answer that took longer than the latency target divided by this shows queueing at the server.
 	queueingDivisor = 6
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -122,6 +122,21 @@
 	wantActions(t, h, "send 1 to 1")
 }
 
+// A session read whose client waited for less than a quarter of the latency target beyond the answer times known was held
+// for a fresh replica until it was refused, while the primary was idle.
+func TestSessionReadGoesToPrimaryWhileItCanBeAnswered(t *testing.T) {
+	const arrival = 100 * ms
+	for _, wait := range []time.Duration{30 * ms, 100 * ms, 217 * ms, 400 * ms, 600 * ms, 800 * ms, 2 * time.Second} {
+		g, h := newTestGateway(func(d *Deployment) { d.OpTypes[sessionRead].Target = 2 * time.Second })
+		g.lastTimerAt = arrival
+		g.Op(arrival, Arrival{ID: 1, OpType: sessionRead, Session: 9, ClientLeavesAt: arrival + wait, WriteAge: 50 * ms})
+		for now := arrival; now < arrival+wait && len(h.actions) == 0; now += 5 * ms {
+			g.Timer(now, 0)
+		}
+		wantActions(t, h, "send 1 to 1")
+	}
+}
+
 func TestReportedPositionReleasesHeldRead(t *testing.T) {
 	g, h := newTestGateway(nil)
 	g.Op(100*ms, Arrival{ID: 1, OpType: sessionRead, Session: 9, ClientLeavesAt: 2 * time.Second, WriteAge: 50 * ms})
--- a/choice/routing.go
+++ b/choice/routing.go
@@ -34,7 +34,7 @@
 // while that is unknown or failing, a write is tried at the members of the group one after the other. Other reads
 // rotate over the replicas known to be fresh enough. If there is none and servers check reads themselves, the most
 // advanced replica is tried, until a server has declined the read. A read for which this finds no replica is held until
-// its holdEnd, a session read for a quarter of its latency target, and is then sent to the primary.
+// its hold ends, see holdUntil, and is then sent to the primary.
 func (g *Gateway) chooseServer(now time.Duration, o *op) (s *server) {
 	primary := o.group.primary
 	switch {
@@ -46,12 +46,18 @@
 	if s = g.nextReplica(now, o, o.requiredPosition(now)); s == nil && g.replicasCheck && !o.declined {
 		s = g.mostAdvancedReplica(now, o)
 	}
-	if s == nil && now >= o.holdEnd {
+	if s == nil && now >= g.holdUntil(o) {
 		s = g.ifRoom(now, primary, o)
 	}
 	return s
 }
 
+// holdUntil returns until when a read is held for a replica that is fresh enough: a session read for a quarter of its
+// latency target, but no read for so long that a send to the primary is of no use then.
+func (g *Gateway) holdUntil(o *op) time.Duration {
+	return min(o.holdEnd, g.latestUsefulSend(o)-holdMarginTicks*g.tick)
+}
+
 func (s *server) usable() bool { return s != nil && s.state == Ready && s.probesNeeded == 0 }
 
 // ifRoom returns the server if it can take the op now, else nil. One that answered the op with an error before
