The soak plays outages of discovery

A proxy stands between the gateway and discovery. With each of the fifteen troubles of a play it refuses calls, leaves them without an answer, resets them, or passes them on, and cuts off those under way. Outages are drawn apart from the other draws.

--- a/cmd/gorsewell/soak_test.go
+++ b/cmd/gorsewell/soak_test.go
@@ -49,6 +49,8 @@
 	rng         *rand.Rand
 	nonRetrying bool // writes are non-retryable
 	addr        string
+	discovery   *unreliableDiscovery
+	outages     *rand.Rand // draws outages, apart from the other draws
 	crowded     bool
 	lastID      atomic.Int64
 	stopped     atomic.Bool // clients end
@@ -296,6 +298,8 @@
 		if s.nonRetrying {
 			config = strings.Replace(config, `"effect":"dedup"`, `"effect":"fragile"`, 1)
 		}
+		s.discovery = startUnreliableDiscovery(t, config)
+		config = replaceField(t, config, "discovery", s.discovery.addr())
 		return replaceField(t, config, "limits", map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets})
 	})
 	s.addr = addr
@@ -322,7 +326,7 @@
 	return out.String()
 }
 
-// playTroubles plays floods, leaving clients, signals and stalls one after the other.
+// playTroubles plays floods, leaving clients, signals, stalls and outages of discovery one after the other.
 func (s *soak) playTroubles(t *testing.T, cmd *exec.Cmd) {
 	kinds := floodKinds()
 	for range 3 {
@@ -330,6 +334,7 @@
 		process := startFlood(t, s.addr, kind, []int{1, 6, 64}[s.random(3)])
 		for range 5 {
 			s.playLeavingClient()
+			s.discovery.begin(outage(s.outages.IntN(int(outageKinds))))
 			switch s.random(4) {
 			case 0:
 				cmd.Process.Signal(syscall.SIGHUP)
@@ -343,6 +348,7 @@
 		}
 		process.Kill()
 	}
+	s.discovery.begin(noOutage)
 }
 
 // stop stops the gateway as planned, with further signals in series, and kills it at the earliest time that the platform
@@ -399,7 +405,7 @@
 	}
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := &soak{rng: rand.New(rand.NewPCG(uint64(seed), 0)), nonRetrying: seed%2 == 0, crowded: seed%3 == 0,
+			s := &soak{rng: rand.New(rand.NewPCG(uint64(seed), 0)), outages: rand.New(rand.NewPCG(uint64(seed), 1)), nonRetrying: seed%2 == 0, crowded: seed%3 == 0,
 				attempts: map[string][]time.Time{}, executed: map[string]int{}, leftAt: map[string]time.Time{}, expiresAt: map[string]time.Time{}}
 			log := s.play(t)
 			for _, v := range s.violations {
@@ -411,8 +417,8 @@
 			if s.answered.Load() == 0 || strings.Contains(log, "event=broken") || strings.Contains(log, "panic") {
 				t.Errorf("got %d answers; log %s", s.answered.Load(), log)
 			}
-			t.Logf("%d usual commands acked, %d commands left, killed: %v, slowest reset %v, the rig stood still for up to %v until %s",
-				s.answered.Load(), len(s.leftAt), s.killed, s.slowestReset, s.rigStall, s.rigStallEnd.UTC().Format("05.000"))
+			t.Logf("%d usual commands acked, %d commands left, %d calls of discovery failed, killed: %v, slowest reset %v, the rig stood still for up to %v until %s",
+				s.answered.Load(), len(s.leftAt), s.discovery.failed.Load(), s.killed, s.slowestReset, s.rigStall, s.rigStallEnd.UTC().Format("05.000"))
 		})
 	}
 }
