A gateway that has never seen a warm server uses cold ones

Cause: the allowance of a cold server accrues by what one warm server takes, or by what the cold one has acked. With neither both are zero, and as nothing is sent nothing corrects them.

Change: where no warm server has taken any work, a server is taken to work on one op at a time, which is the least that any does. All gateways share that.

--- a/choice/cold.go
+++ b/choice/cold.go
@@ -17,7 +17,8 @@
 //
 // The capacity is estimated in two ways, of which the greater counts. The first estimate is the work per time that one
 // warm server takes, multiplied by the least share of its full capacity that the cold server had one overload time ago.
-// The second is the work per time that the server acked recently.
+// If no warm server has taken any, it is that of a server which works on one op at a time, shared by all gateways. The
+// second is the work per time that the server acked recently.
 //
 // A token bucket limits the work. It fills at the estimated capacity times overloadFactor times coldSafetyFactor, holds
 // what accumulates in overloadTime/coldBurstDivisor, and lets an op pass if its level is not below zero. It starts at a
@@ -32,7 +33,11 @@
 	}
 	elapsed, window := float64(now-s.allowanceUpdatedAt), float64(g.overloadTime)
 	s.ackedWork *= math.Exp(-elapsed / window)
-	rate := max(g.warmRate*share, s.ackedWork/window) * g.overloadFactor * coldSafetyFactor
+	warmRate := g.warmRate
+	if warmRate == 0 {
+		warmRate = 1 / g.gatewayCount
+	}
+	rate := max(warmRate*share, s.ackedWork/window) * g.overloadFactor * coldSafetyFactor
 	s.coldAllowance, s.allowanceUpdatedAt = min(s.coldAllowance+rate*elapsed, rate*window/coldBurstDivisor), now
 	if s.coldAllowance >= 0 {
 		s.coldAllowance -= work
--- a/internal/emulator/cold_test.go
+++ b/internal/emulator/cold_test.go
@@ -71,3 +71,28 @@
 		}
 	}
 }
+
+// Gateways that had never seen a warm server sent nothing to any until the end of the ramp. Now they do, within the limit.
+func TestFleetThatStartsWithColdServersServes(t *testing.T) {
+	t.Parallel()
+	for _, gateways := range []int{1, 2, 5, 30} {
+		w, _ := coldWorld(gateways, coldCase{coldTime: 12 * time.Second, fallTime: 2 * time.Second, coldFrom: 0.2, overload: 2})
+		w.Load.Use = 0.2
+		all := []Fault{{Kind: "mass_restart", At: 4 * time.Second, Share: 1, Back: time.Second},
+			{Kind: "gateway_crash", At: 4 * time.Second, Share: 1, Back: 4 * time.Second}}
+		r := runWorld(t, w, all, Arm{}, 1)
+		asked, earned := 0.0, 0.0
+		for _, second := range r.Windows[10:15] {
+			asked += second.Value
+			earned += second.Earned
+		}
+		t.Logf("%d gateways: %.1f ops sent, %.1f allowed, limit %.1f; service %.3f from 10 to 15 s", gateways, r.Cold.Sent, r.Cold.Allowed,
+			r.Cold.Limit(), earned/asked)
+		if r.Cold.Sent > r.Cold.Limit() {
+			t.Errorf("%d gateways: got %.1f ops at a cold server, want at most %.1f", gateways, r.Cold.Sent, r.Cold.Limit())
+		}
+		if earned < asked/5 {
+			t.Errorf("%d gateways: got a service of %.3f, want at least a fifth", gateways, earned/asked)
+		}
+	}
+}
