One place waits for the reset of a connection; long lines of the client side

The soak and the test of planned stops each had the loop that waits for a connection's reset; it is a method of the stand-in's client now. Long lines in the acceptor, the submitting of ops and the tries are broken up.

--- a/choice/trying.go
+++ b/choice/trying.go
@@ -20,7 +20,10 @@
 // tried, as their first tries have shown something, nor non-retryable ops, whose clients would leave them with an unknown effect.
 func (g *Gateway) mayTry(now time.Duration, o *op) bool {
 	t := &o.opType.tries
-	if o.sends > 0 || o.isRetry || o.opType.Effect == NonRetryable || len(o.group.held) > 0 || now < t.allowedAt || t.open > min(t.successes, maxOpenTries-1) {
+	if o.sends > 0 || o.isRetry || o.opType.Effect == NonRetryable || len(o.group.held) > 0 {
+		return false
+	}
+	if now < t.allowedAt || t.open > min(t.successes, maxOpenTries-1) {
 		return false
 	}
 	end := o.targetEnd
--- a/cmd/gorsewell/soak_test.go
+++ b/cmd/gorsewell/soak_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"slices"
@@ -17,8 +16,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"gorsewell/internal/pgwire"
 	"gorsewell/internal/standin"
 )
@@ -206,19 +203,14 @@
 
 // wasUnread reports whether a connection that the gateway has closed was reset, which tells that it had unread input.
 func (s *soak) wasUnread(c *standin.Client) bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
 	start := time.Now()
-	for ; err == nil && time.Since(start) < time.Second; time.Sleep(time.Millisecond) {
-		code := 0
-		raw.Control(func(fd uintptr) { code, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
-		if code != 0 {
-			s.mu.Lock()
-			s.slowestReset = max(s.slowestReset, time.Since(start))
-			s.mu.Unlock()
-			return true
-		}
+	reset := c.AwaitReset(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reset {
+		s.slowestReset = max(s.slowestReset, time.Since(start))
 	}
-	return false
+	return reset
 }
 
 // judge checks the answer to a command of a usual client.
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -116,9 +116,21 @@
 // New returns an acceptor for at most maxConns connections.
 func New(clock exchange.Clock, dispatcher exchange.Dispatcher, counts *counters.Set, settings *deployment.Settings,
 	maxConns int) *Acceptor {
-	a := &Acceptor{clock: clock, dispatcher: dispatcher, counts: counts, events: eventlog.New(), settings: settings, opTypes: map[string]uint8{},
-		budgets: newInputBudgets(settings.MemoryBytes), turns: newTurns(clock, settings.Cores), maxConns: int64(maxConns), conns: map[*conn]struct{}{},
-		connClosed: make(chan struct{}, 1), ids: choice.NewIDGuard(), idSeed: maphash.MakeSeed()}
+	a := &Acceptor{
+		clock:      clock,
+		dispatcher: dispatcher,
+		counts:     counts,
+		events:     eventlog.New(),
+		settings:   settings,
+		opTypes:    map[string]uint8{},
+		budgets:    newInputBudgets(settings.MemoryBytes),
+		turns:      newTurns(clock, settings.Cores),
+		maxConns:   int64(maxConns),
+		conns:      map[*conn]struct{}{},
+		connClosed: make(chan struct{}, 1),
+		ids:        choice.NewIDGuard(),
+		idSeed:     maphash.MakeSeed(),
+	}
 	for i, name := range settings.OpTypeNames {
 		a.opTypes[name] = uint8(i)
 	}
--- a/internal/clientside/command.go
+++ b/internal/clientside/command.go
@@ -56,10 +56,21 @@
 // submit submits the op of a statement. The op owns the statement and the memory reserved for it.
 func (c *conn) submit(s *pgwire.Statement, opType uint8, memory membudget.Reservation) {
 	c.sentCommand.Store(true)
-	op := &exchange.Exchange{Statement: s, ClientID: string(s.ID), OpType: opType, Group: s.Group, Session: sessionHash(s.Key), IsRetry: s.Retry,
-		Deadline: c.readAt + min(s.Remaining, c.acceptor.settings.OpTypes[opType].Timeout),
-		Target:   c.acceptor.settings.OpTypes[opType].Target, MinPosition: choice.LongPast, Memory: memory,
-		ClientClosed: c.clientClosed, Done: make(chan struct{})}
+	settings := &c.acceptor.settings.OpTypes[opType]
+	op := &exchange.Exchange{
+		Statement:    s,
+		ClientID:     string(s.ID),
+		OpType:       opType,
+		Group:        s.Group,
+		Session:      sessionHash(s.Key),
+		IsRetry:      s.Retry,
+		Deadline:     c.readAt + min(s.Remaining, settings.Timeout),
+		Target:       settings.Target,
+		MinPosition:  choice.LongPast,
+		Memory:       memory,
+		ClientClosed: c.clientClosed,
+		Done:         make(chan struct{}),
+	}
 	if position, ok := c.acceptor.clock.FromUnix(s.After); ok {
 		op.MinPosition = position
 	}
--- a/internal/clientside/stop_loss_test.go
+++ b/internal/clientside/stop_loss_test.go
@@ -4,34 +4,16 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/pgwire"
-	"gorsewell/internal/standin"
 )
 
-// wasReset reports whether a connection that its peer has closed is reset within a second, which tells that the peer had
-// not read all.
-func wasReset(c *standin.Client) bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	for end := time.Now().Add(time.Second); err == nil && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		code := 0
-		raw.Control(func(fd uintptr) { code, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) })
-		if code != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Each command that is sent while a planned stop closes connections is answered, or its connection is reset.
 func TestStopAnswersOrResetsEveryCommand(t *testing.T) {
 	const clients = 200
@@ -54,7 +36,7 @@
 				case errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
 					return
 				case err == nil && got == "$":
-					if !wasReset(c) {
+					if !c.AwaitReset(time.Second) {
 						t.Errorf("%v ended without an answer and without a reset, %v after its command", c.LocalAddr(), time.Since(sentAt))
 					}
 					return
