Review case 9: a new process sends to a draining server while discovery is slow

Cause: the cached list is trusted until another comes, though pushed changes count as told from a process's first moment. Change: review/9 and its stand-in.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -14,9 +14,10 @@
 
 func main() {
 	cases := map[string]func(rec *record, folder string, trouble bool) int{
-		"leave": leave,
-		"noise": noise,
-		"stall": stall,
+		"leave":   leave,
+		"noise":   noise,
+		"stall":   stall,
+		"restart": restart,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil || os.Getenv("REVIEW_ROOT") == "" {
 		fmt.Fprintln(os.Stderr, "usage: REVIEW_ROOT=FOLDER rig2 CASE RECORD")
