Review case 6: beside pipelining bad clients every usual request on a new connection is lost

Cause: accepting connections gets one connection's share of turns, so new ones wait in the queue without bound.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Clients send many commands at once and go.
+# Usual clients connect while bad clients send hundreds of commands at once.
 # Exit status: 1 if the rule was broken, 0 if it was kept, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 REVIEW_ROOT=$(cd ../.. && pwd) || exit 2
 export REVIEW_ROOT
 test -x "$REVIEW_ROOT/bin/gorsewell" && test -x ../rig2/bin/rig2 || exit 2
-exec ../rig2/bin/rig2 leave record.txt
+exec ../rig2/bin/rig2 flood record.txt
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -17,6 +17,7 @@
 		"leave":   leave,
 		"noise":   noise,
 		"stall":   stall,
+		"flood":   flood,
 		"restart": restart,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil || os.Getenv("REVIEW_ROOT") == "" {
