A send needs to know that its client is there, and input is read on for that

Cause: the end of a stream arrives behind all that was sent before it. Without memory to read ahead a connection is not read while its ops are open, so the close stood behind unread input, and at a send "not known to have closed" (serverside.startJob) counted as "there".

The module asks before it sends (held reads, retries), the server side again at the first byte (waits for a connection or a handshake); the result ClientUnknown counts as no attempt and the op waits, without a place at the server. While it waits its connection is read on without memory: of discarded commands only their number is kept, and each is refused in its place. Nothing is discarded unless a send needs to know. Counter: send_client_unknown.

Why this works: no send begins on missing knowledge, so what hides a close does not matter any more, and reading on makes the knowledge come for clients that stay.

TestNothingIsSentForDisconnectedClient uses the new typed field in place of the function that returned a bool, and checks the same.

--- a/choice/arrivals.go
+++ b/choice/arrivals.go
@@ -25,7 +25,7 @@
 	t := &g.opTypes[a.OpType]
 	o := &op{id: a.ID, opType: t, group: cmp.Or(g.groups[a.Group], &group{}), session: a.Session, openBefore: a.OpenBefore,
 		admissionDraw: g.random(), minPosition: never, mayHaveRunAt: never, targetEnd: now + t.Target,
-		holdEnd: now + t.Target/holdDivisor, clientLeavesAt: a.ClientLeavesAt, retriesEnd: now + t.Timeout}
+		holdEnd: now + t.Target/holdDivisor, clientLeavesAt: a.ClientLeavesAt, clientSeenAt: now, retriesEnd: now + t.Timeout}
 	t.lastArrival, t.meanArrivalGap = now, t.meanArrivalGap+(now-t.lastArrival-t.meanArrivalGap)/averagingSamples
 	g.matchRetry(now, o, a.IsRetry)
 	switch t.Need {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -90,6 +90,9 @@
 	// never is a time that does not come.
 	never = time.Duration(math.MaxInt64)
 
+	// maxUnbegunSends is how many sends of an op may end as ClientUnknown.
+	maxUnbegunSends = 64
+
 	// maxExpectedRetries is the number of unanswered ops kept to recognize their retries. The oldest is dropped first.
 	maxExpectedRetries = 4096
 )
@@ -119,6 +122,8 @@
 	clientLeavesAt  time.Duration // when its client stops waiting
 	sentTo          *server       // where a send is out, or nil
 	sends           int           // number of sends so far
+	clientSeenAt    time.Duration // when its client was last known to be there
+	unbegunSends    int           // number of those that ended as ClientUnknown
 	sentAt          time.Duration // time of the newest send
 	waitStart       time.Duration // sentAt, or a later stall of the gateway or cancel, from which waiting is counted anew
 	firstErrorFrom  *server       // the first server that answered it with an error
@@ -133,6 +138,7 @@
 	isRetry         bool          // its client has tried it before
 	tried           bool          // its open send is a try, see tries
 	declined        bool          // a server declined it for its role or its position
+	clientUnknown   bool          // it waits until its client is known to be there
 	done            bool          // it has its final answer, or needs none
 }
 
--- a/choice/event.go
+++ b/choice/event.go
@@ -54,6 +54,7 @@
 	ReasonNotSent
 	ReasonCancelled
 	ReasonDeclined
+	ReasonClientUnknown
 )
 
 var reasonNames = [...]string{
@@ -73,6 +74,7 @@
 	ReasonNotSent:         "not_sent",
 	ReasonCancelled:       "cancelled",
 	ReasonDeclined:        "declined",
+	ReasonClientUnknown:   "client_unknown",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
@@ -94,6 +96,8 @@
 		return ReasonNotSent
 	case Declined:
 		return ReasonDeclined
+	case ClientUnknown:
+		return ReasonClientUnknown
 	}
 	return NoReason
 }
@@ -112,15 +116,16 @@
 }
 
 var resultNames = [...]string{
-	Acked:        "acked",
-	ServerError:  "error",
-	ServerFull:   "full",
-	TimedOut:     "timed_out",
-	NoConnection: "no_connection",
-	Reset:        "reset",
-	Cancelled:    "cancelled",
-	NotSent:      "not_sent",
-	Declined:     "missed",
+	Acked:         "acked",
+	ServerError:   "error",
+	ServerFull:    "full",
+	TimedOut:      "timed_out",
+	NoConnection:  "no_connection",
+	Reset:         "reset",
+	Cancelled:     "cancelled",
+	NotSent:       "not_sent",
+	Declined:      "missed",
+	ClientUnknown: "client_unknown",
 }
 
 func (r Result) String() string { return resultNames[r] }
--- a/choice/health.go
+++ b/choice/health.go
@@ -150,7 +150,7 @@
 // again and it may be.
 func (g *Gateway) cancelLostSends(now time.Duration, s *server) {
 	for _, o := range s.openSends {
-		lostAfter := time.Duration(lostFactor*o.sends) * o.opType.meanAnswerTime()
+		lostAfter := time.Duration(lostFactor*o.begunSends()) * o.opType.meanAnswerTime()
 		if g.mayCancel && !o.done && now-o.waitStart > lostAfter && now < min(g.latestUsefulSend(o), g.latestAllowedSend(o)) {
 			o.waitStart = now
 			g.host.Cancel(o.id, uint8(o.sends-1))
--- a/choice/host.go
+++ b/choice/host.go
@@ -36,7 +36,7 @@
 // durations since the gateway's start.
 type Host interface {
 	// Send sends an op to a server. The send may wait for a connection. It ends as NotSent if it has not begun by
-	// beginBy.
+	// beginBy. It ends as ClientUnknown if the op's Presence does not allow it when it would begin, see PresenceHost.
 	Send(op, server uint32, beginBy time.Duration)
 	// Withdraw takes back all sends to a server that have not begun. They end as NotSent.
 	Withdraw(server uint32)
@@ -204,15 +204,16 @@
 	Late                // answers keep coming late
 )
 
-// The results. ServerFull, NoConnection, NotSent and Declined prove that nothing ran.
+// The results. ServerFull, NoConnection, NotSent, Declined and ClientUnknown prove that nothing ran.
 const (
-	Acked        Result = iota
-	ServerError         // the server answered with an error
-	ServerFull          // the server turned the op away, as it has too much to do
-	TimedOut            // no answer within the time
-	NoConnection        // no connection could be made
-	Reset               // the connection broke while the answer was awaited
-	Cancelled           // cancelled by the gateway
-	NotSent             // withdrawn, or not begun in time
-	Declined            // the server is not the primary that the op needs, or its data is too old
+	Acked         Result = iota
+	ServerError          // the server answered with an error
+	ServerFull           // the server turned the op away, as it has too much to do
+	TimedOut             // no answer within the time
+	NoConnection         // no connection could be made
+	Reset                // the connection broke while the answer was awaited
+	Cancelled            // cancelled by the gateway
+	NotSent              // withdrawn, or not begun in time
+	Declined             // the server is not the primary that the op needs, or its data is too old
+	ClientUnknown        // not begun, as it was not known whether the client was still there
 )
--- a/choice/results.go
+++ b/choice/results.go
@@ -35,6 +35,9 @@
 	o.failsEverywhere = result == ServerError && e != nil && e != s && e.backoff == 0 && s.backoff == 0
 	g.assessResult(now, s, o, result, took)
 	o.declined = o.declined || result == Declined
+	if result == ClientUnknown {
+		o.sendEndedUnbegun()
+	}
 	if final || o.done || result == Acked {
 		delete(g.ops, id)
 	} else {
@@ -129,5 +132,5 @@
 
 // NeverRan reports whether the result proves that the op did not run.
 func (r Result) NeverRan() bool {
-	return r == ServerFull || r == NoConnection || r == NotSent || r == Declined
+	return r == ServerFull || r == NoConnection || r == NotSent || r == Declined || r == ClientUnknown
 }
--- a/choice/routing.go
+++ b/choice/routing.go
@@ -11,11 +11,17 @@
 // longer be useful or is no longer allowed.
 func (g *Gateway) place(now time.Duration, o *op) {
 	reason := g.reasonToGiveUp(now, o)
-	isTry := reason == ReasonNoTimeLeft && g.mayTry(now, o)
+	isTry := reason == ReasonNoTimeLeft && !o.clientUnknown && g.mayTry(now, o)
 	if reason != NoReason && !isTry {
 		g.giveUp(now, o, reason)
 		return
 	}
+	if o.clientUnknown {
+		if !o.held {
+			g.hold(now, o)
+		}
+		return
+	}
 	s := g.chooseServer(now, o)
 	switch {
 	case s != nil && g.send(now, o, s):
@@ -122,7 +128,7 @@
 // uses the op's last send, which is reserved for the primary.
 func (g *Gateway) primaryCandidate(now time.Duration, o *op) *server {
 	for _, s := range o.group.members {
-		if o.sends < g.maxSends-1 && g.ifRoom(now, s, o) != nil && !s.overdue(now) &&
+		if o.begunSends() < g.maxSends-1 && g.ifRoom(now, s, o) != nil && !s.overdue(now) &&
 			(s.role != Replica || now-s.roleAsOf > g.shortWait) {
 			return s
 		}
--- a/choice/sending.go
+++ b/choice/sending.go
@@ -10,9 +10,11 @@
 // sent again only if it is retryable, or if it is tokened and servers still drop repeats. With tokens of zone scope it
 // is not sent again at all, as a zone need not hold all servers of a group.
 func (g *Gateway) latestAllowedSend(o *op) time.Duration {
-	if o.sends < g.maxSends && (o.mayHaveRunAt == never || o.opType.Effect == Retryable) {
+	if o.unbegunSends >= maxUnbegunSends {
+		return LongPast
+	} else if o.begunSends() < g.maxSends && (o.mayHaveRunAt == never || o.opType.Effect == Retryable) {
 		return never
-	} else if o.sends < g.maxSends && o.opType.Effect == Tokened && o.opType.Scope != ScopeZone {
+	} else if o.begunSends() < g.maxSends && o.opType.Effect == Tokened && o.opType.Scope != ScopeZone {
 		return o.mayHaveRunAt + o.opType.Window - 2*g.tick
 	}
 	return LongPast
@@ -28,6 +30,7 @@
 	if o.done || o.sentTo != nil || now >= beginBy || // rules 1 and 2: one final answer, no double effect
 		s.state != Ready || s.group != o.group || // rule 3: nothing new to a draining or gone server, even in its grace time
 		!freshEnough && s.position < o.requiredPosition(now) || // rule 5: no data older than the op type allows
+		!g.clientAllowsSend(now, o) || // rule 1: no attempt for a client that has left
 		!g.coldLimitAllows(now, o, s) { // rule 4: a cold server never gets more than its multiple
 		return false
 	}
--- a/choice/trying.go
+++ b/choice/trying.go
@@ -2,7 +2,10 @@
 
 // Sends that look useless by the answer times known.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // tries limits the sends of one op type that, by the answer times known, can no longer be useful. Only sends change these
 // times, so without such tries ops whose clients wait for less would be refused for ever.
@@ -20,7 +23,7 @@
 // tried, as their first tries have shown something.
 func (g *Gateway) mayTry(now time.Duration, o *op) bool {
 	t := &o.opType.tries
-	if o.sends > 0 || o.isRetry || len(o.group.held) > 0 {
+	if o.begunSends() > 0 || o.isRetry || slices.ContainsFunc(o.group.held, (*op).waitsForServer) {
 		return false
 	}
 	if now < t.allowedAt || t.open > min(t.successes, maxOpenTries-1) {
--- a/internal/clientside/answer.go
+++ b/internal/clientside/answer.go
@@ -1,6 +1,7 @@
 package clientside
 
 import (
+	"bytes"
 	"errors"
 	"strconv"
 	"time"
@@ -16,6 +17,9 @@
 	op    *exchange.Exchange
 
 	answersCommand bool
+
+	// refusals is the number of discarded commands in a row that the reply answers, instead of one command.
+	refusals int
 }
 
 // enqueueBytes queues bytes that do not answer a command.
@@ -29,6 +33,9 @@
 // severalCommands is how many pending commands make a connection count as one that pipelines.
 const severalCommands = 2
 
+// refusalsPerWrite is how many refusals in a row are written at a time at most.
+const refusalsPerWrite = 64
+
 func (c *conn) enqueue(r reply) {
 	if r.answersCommand && c.pendingCommands.Add(1) == severalCommands {
 		c.acceptor.pipelining.Add(1)
@@ -52,10 +59,11 @@
 			deadline = max(deadline, r.op.Deadline)
 		}
 		if failed == nil && len(r.bytes) > 0 {
-			c.net.SetWriteDeadline(c.acceptor.clock.Time(deadline))
-			if _, failed = c.net.Write(r.bytes); failed != nil {
-				c.net.Close() // so that the client cannot take a partly written value for a complete one
-			}
+			failed = c.write(r.bytes, deadline)
+		}
+		for left := r.refusals; left > 0 && failed == nil; left -= refusalsPerWrite {
+			refusals := bytes.Repeat(busyReply(), min(left, refusalsPerWrite))
+			failed = c.write(refusals, c.acceptor.clock.Now()+c.acceptor.settings.ConnectTimeout)
 		}
 		c.lastActivity.Store(int64(c.acceptor.clock.Now()))
 		if r.op != nil {
@@ -77,6 +85,21 @@
 	return errors.Join(failed, c.net.SetWriteDeadline(time.Time{}))
 }
 
+// write writes to the client before a deadline, or closes the connection.
+func (c *conn) write(bytes []byte, deadline time.Duration) error {
+	c.net.SetWriteDeadline(c.acceptor.clock.Time(deadline))
+	_, err := c.net.Write(bytes)
+	if err != nil {
+		c.net.Close() // so that the client cannot take a partly written value for a complete one
+	}
+	return err
+}
+
+// busyReply returns the reply to a command for which there is no memory.
+func busyReply() []byte {
+	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "53300", errNoMemory.Error(), ""))
+}
+
 // finalReply returns the reply to an op that has ended, or nil if its client has disconnected.
 func finalReply(op *exchange.Exchange) []byte {
 	switch op.Outcome {
--- a/internal/clientside/command.go
+++ b/internal/clientside/command.go
@@ -31,11 +31,10 @@
 	if !known {
 		return c.rejectQuery("22023", "unknown op type")
 	}
-	switch err := c.confirmPresence(); err {
-	case nil:
-	case errNoMemory: // it is not known whether the client has left
-		return c.rejectBusy()
-	default:
+	switch err := c.confirmPresence(); {
+	case err == errNoMemory, err == errMoreInput && c.ahead.discarding && c.drainTooSlow():
+		return c.rejectBusy() // it is not known whether the client has left
+	case err != nil:
 		return err
 	}
 	owned, memory, ok := c.takeMemory(text)
@@ -58,18 +57,18 @@
 	c.sentCommand.Store(true)
 	settings := &c.acceptor.settings.OpTypes[opType]
 	op := &exchange.Exchange{
-		Statement:    s,
-		ClientID:     string(s.ID),
-		OpType:       opType,
-		Group:        s.Group,
-		Session:      sessionHash(s.Key),
-		IsRetry:      s.Retry,
-		Deadline:     c.readAt + min(s.Remaining, settings.Timeout),
-		Target:       settings.Target,
-		MinPosition:  choice.LongPast,
-		Memory:       memory,
-		ClientClosed: c.clientClosed,
-		Done:         make(chan struct{}),
+		Statement:   s,
+		ClientID:    string(s.ID),
+		OpType:      opType,
+		Group:       s.Group,
+		Session:     sessionHash(s.Key),
+		IsRetry:     s.Retry,
+		Deadline:    c.readAt + min(s.Remaining, settings.Timeout),
+		Target:      settings.Target,
+		MinPosition: choice.LongPast,
+		Memory:      memory,
+		Presence:    c.clientPresence,
+		Done:        make(chan struct{}),
 	}
 	if position, ok := c.acceptor.clock.FromUnix(s.After); ok {
 		op.MinPosition = position
@@ -88,7 +87,7 @@
 func (c *conn) rejectBusy() error {
 	c.acceptor.counts.CommandsSkipped.Add(1)
 	c.logEvent("command_refused", slog.String("code", "53300"), slog.String("reason", "no memory"))
-	c.enqueueCommandReply(pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", "53300", errNoMemory.Error(), "")))
+	c.enqueueCommandReply(busyReply())
 	return nil
 }
 
--- a/internal/clientside/conn.go
+++ b/internal/clientside/conn.go
@@ -26,6 +26,9 @@
 	// ahead is input that was read ahead.
 	ahead readAhead
 
+	// presence is what is known of the client. It may be used by any goroutine.
+	presence presence
+
 	// flow is the connection's input in the order of turns.
 	flow *flow
 
@@ -90,6 +93,7 @@
 	c := &conn{acceptor: a, net: netConn, raw: raw, flow: newFlow(),
 		readBuffer: pgwire.ReadBuffer{MaxMessage: a.settings.MaxMessageBytes},
 		replies:    make(chan reply, choice.MaxOpenCommands+extraReplies)}
+	c.presence.tracker = choice.NewPresenceTracker()
 	c.lastActivity.Store(int64(a.clock.Now()))
 	return c, nil
 }
--- a/internal/clientside/input.go
+++ b/internal/clientside/input.go
@@ -20,6 +20,9 @@
 		if ok || err != nil {
 			return m, err
 		}
+		if c.atDiscardedInput() {
+			return m, c.passDiscardedInput()
+		}
 		if c.inputDeadline.IsZero() && c.messageBegun() {
 			c.limitInputTime()
 		}
--- a/internal/clientside/memory.go
+++ b/internal/clientside/memory.go
@@ -99,7 +99,7 @@
 	budget := c.acceptor.budgets.forMessage(size)
 	memory, ok := budget.TryReserve(longMessageCopies * size)
 	if !ok {
-		memory, ok = c.acceptor.awaitMemory(budget, longMessageCopies*size)
+		memory, ok = c.awaitMemory(budget, longMessageCopies*size)
 	}
 	if ok {
 		c.setInputMemory(memory)
@@ -107,15 +107,20 @@
 	return ok
 }
 
-// awaitMemory waits for memory and returns false if none becomes free in time. Meanwhile it evicts connections whose own
-// messages do not arrive.
-func (a *Acceptor) awaitMemory(budget *messageBudget, n int) (memory membudget.Reservation, ok bool) {
+// awaitMemory waits for memory and returns false if none becomes free in time, or if a send needs the input to be read on.
+// Meanwhile it evicts connections whose own messages do not arrive.
+func (c *conn) awaitMemory(budget *messageBudget, n int) (memory membudget.Reservation, ok bool) {
+	a := c.acceptor
 	a.addWaiting(budget, int64(n))
 	defer a.addWaiting(budget, -int64(n))
 	ctx, cancel := context.WithTimeout(context.Background(), memoryWait)
 	defer cancel()
 	go func() {
 		for ctx.Err() == nil {
+			if c.presence.mustDrain() {
+				cancel()
+				return
+			}
 			a.evictStalled(budget)
 			select {
 			case <-ctx.Done():
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -34,6 +34,8 @@
 		case err == errNoMemory:
 			c.rejectBusy()
 			continue
+		case err == errInputDiscarded:
+			continue
 		case err != nil:
 			return c.reject(err)
 		case m.Type == pgwire.Terminate:
--- a/internal/clientside/readahead.go
+++ b/internal/clientside/readahead.go
@@ -11,7 +11,7 @@
 
 // The end of a client's stream arrives behind all that the client has sent. While unread input fills the buffers of both
 // machines, nothing tells whether the client has left. So input is read ahead before an op is submitted, and while
-// open ops wait for their answers.
+// open ops wait for their answers. Beyond the memory for that it is read only as far as sends need it, see discard.go.
 
 const (
 	// readAheadMemoryDivisor is the part of the memory for input that was read ahead.
@@ -40,6 +40,38 @@
 
 	// size is the number of bytes in all pieces.
 	size int
+
+	// scanner has scanned all input up to the end of what was read ahead.
+	scanner commandScanner
+
+	// discarding is true if input behind the pieces was discarded, see discard.go.
+	discarding bool
+}
+
+// isEmpty reports whether nothing was read ahead.
+func (r *readAhead) isEmpty() bool { return r.size == 0 && !r.discarding }
+
+// add adds a piece that was read.
+func (r *readAhead) add(piece aheadPiece) {
+	r.pieces = append(r.pieces, piece)
+	r.size += len(piece.bytes)
+	r.scanner.scan(piece.bytes)
+}
+
+// dropEnd drops up to n bytes from the end and returns how many.
+func (r *readAhead) dropEnd(n int) (dropped int) {
+	for dropped < n && r.size > 0 {
+		last := &r.pieces[len(r.pieces)-1]
+		size := min(n-dropped, len(last.bytes))
+		last.bytes = last.bytes[:len(last.bytes)-size]
+		r.size -= size
+		dropped += size
+		if len(last.bytes) == 0 {
+			last.memory.Release()
+			r.pieces = r.pieces[:len(r.pieces)-1]
+		}
+	}
+	return dropped
 }
 
 // take moves bytes from the front into a buffer and returns how many, and when they were read.
@@ -66,47 +98,68 @@
 	*r = readAhead{}
 }
 
-// readAheadOnce reads ahead what has arrived, up to a piece. It returns 0 if nothing has arrived, errNoMemory if there is
-// no memory for it, and errClientGone if the client has left.
+// readAheadOnce reads ahead what has arrived, up to a piece. It returns 0 if nothing has arrived and errClientGone if the
+// client has left. If there is no memory it discards what it reads, provided that a send needs to know whether the client
+// is there, and returns errNoMemory otherwise.
 func (c *conn) readAheadOnce() (n int, err error) {
-	if c.clientClosed() {
-		return 0, errClientGone
+	arrived, err := c.findInput()
+	if err != nil {
+		return 0, err
 	}
 	if c.acceptor.finalReads.Load() { // no op is sent any more, and what is not processed has to stay unread
 		return 0, nil
 	}
-	arrived := unreadBytes(c.raw)
 	if arrived == 0 {
 		return 0, nil
 	}
-	size := min(arrived, readAheadPiece)
-	budget := c.acceptor.budgets.ahead
-	if share := budget.Limit() / max(1, int64(c.acceptor.pipelining.Load())); int64(c.ahead.size+size) > share {
-		return 0, errNoMemory
+	if c.ahead.isEmpty() {
+		c.ahead.scanner = commandScanner{maxMessage: c.readBuffer.MessageLimit()}
+		c.ahead.scanner.scan(c.readBuffer.Bytes())
 	}
-	memory, ok := budget.TryReserve(size)
-	if !ok {
+	memory, ok := c.reserveAhead(min(arrived, readAheadPiece))
+	switch {
+	case ok:
+		n, err = c.readPiece(min(arrived, readAheadPiece), memory)
+	case c.ahead.discarding || c.presence.mustDrain():
+		n, err = c.discardAhead()
+	default:
 		return 0, errNoMemory
 	}
-	piece := aheadPiece{bytes: make([]byte, size), memory: memory}
-	n, err = c.readNow(piece.bytes)
-	if n <= 0 {
+	switch {
+	case n > 0:
+		c.lastActivity.Store(int64(c.acceptor.clock.Now()))
+		return n, nil
+	case err == syscall.EAGAIN:
+		return 0, nil
+	}
+	return 0, errClientGone
+}
+
+// reserveAhead reserves memory to read ahead, a fair part of which is left to other connections. It returns false if there
+// is none, or if input that was discarded comes before.
+func (c *conn) reserveAhead(size int) (memory membudget.Reservation, ok bool) {
+	budget := c.acceptor.budgets.ahead
+	share := budget.Limit() / max(1, int64(c.acceptor.pipelining.Load()))
+	if c.ahead.discarding || int64(c.ahead.size+size) > share {
+		return memory, false
+	}
+	return budget.TryReserve(size)
+}
+
+// readPiece reads a piece ahead into reserved memory.
+func (c *conn) readPiece(size int, memory membudget.Reservation) (n int, err error) {
+	bytes := make([]byte, size)
+	if n, err = c.readNow(bytes); n <= 0 {
 		memory.Release()
-		if err == syscall.EAGAIN {
-			return 0, nil
-		}
-		return 0, errClientGone
+		return n, err
 	}
-	piece.bytes, piece.readAt = piece.bytes[:n], c.acceptor.clock.Now()
-	c.lastActivity.Store(int64(piece.readAt))
-	c.ahead.pieces = append(c.ahead.pieces, piece)
-	c.ahead.size += n
+	c.ahead.add(aheadPiece{bytes: bytes[:n], memory: memory, readAt: c.acceptor.clock.Now()})
 	return n, nil
 }
 
 // confirmPresence returns nil if the client has not left, as all that it has sent has been read. It returns errMoreInput
-// if there is more to read ahead than may be read in a turn, errNoMemory if there is no memory for it, and
-// errClientGone if the client has left.
+// if there is more to read ahead than may be read in a turn, errNoMemory if there is no memory for it and no send needs to
+// know more, and errClientGone if the client has left.
 func (c *conn) confirmPresence() error {
 	for total := 0; ; {
 		n, err := c.readAheadOnce()
@@ -119,19 +172,21 @@
 	}
 }
 
-// awaitClientLeaving waits until the client leaves, and returns true, or until the read deadline passes. Meanwhile it
-// reads ahead.
+// awaitClientLeaving waits until the client leaves, and returns true, or until the read deadline passes or there is space
+// for another command. Meanwhile it reads ahead.
 func (c *conn) awaitClientLeaving() (gone bool) {
 	err := c.raw.Read(func(uintptr) bool {
-		gone = c.confirmPresenceInTurns() == errClientGone
-		return gone
+		err := c.confirmPresenceInTurns()
+		gone = err == errClientGone
+		return gone || err == errMoreInput
 	})
 	return gone || err != nil && !isTimeout(err)
 }
 
-// confirmPresenceInTurns is like confirmPresence but takes as many turns as it needs.
+// confirmPresenceInTurns is like confirmPresence but takes as many turns as it needs, until there is space for another
+// command.
 func (c *conn) confirmPresenceInTurns() (err error) {
-	for err = errMoreInput; err == errMoreInput; {
+	for err = errMoreInput; err == errMoreInput && !c.hasQueueSpace(); {
 		if err = c.confirmPresence(); err == errMoreInput {
 			c.acceptor.turns.await(c.flow)
 			c.acceptor.turns.end(c.flow)
@@ -143,7 +198,9 @@
 // readNow reads without waiting and counts the time that it takes.
 func (c *conn) readNow(space []byte) (n int, err error) {
 	start := c.acceptor.clock.Now()
-	rawErr := c.raw.Control(func(fd uintptr) { n, err = readFile(fd, space) })
+	rawErr := c.raw.Control(func(fd uintptr) {
+		n, err = c.trackRead(func() (int, error) { return readFile(fd, space) })
+	})
 	c.flow.readTime += c.acceptor.clock.Now() - start
 	if rawErr != nil {
 		return 0, rawErr
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"gorsewell/internal/invariant"
 )
 
 // discardPieces holds buffers for input that is discarded.
@@ -37,10 +39,11 @@
 
 // readWaiting reads once there is input. It counts the time of the read, and records whether it had to wait.
 func (c *conn) readWaiting(read func(fd uintptr) (int, error)) (n int, err error) {
+	invariant.Check(!c.ahead.discarding, "input is read in its order")
 	c.flow.Backlogged = true
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		start := c.acceptor.clock.Now()
-		n, err = read(fd)
+		n, err = c.trackRead(func() (int, error) { return read(fd) })
 		c.readAt = c.acceptor.clock.Now()
 		c.flow.readTime += c.readAt - start
 		if err == syscall.EAGAIN {
@@ -81,7 +84,7 @@
 
 // hasUnreadInput reports whether a read would not wait: the client's bytes, or the end of its stream, have arrived.
 func (c *conn) hasUnreadInput() (ready bool) {
-	if c.ahead.size > 0 {
+	if !c.ahead.isEmpty() {
 		return true
 	}
 	err := c.raw.Control(func(fd uintptr) { ready = poll(fd, unix.POLLIN) })
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -14,7 +14,7 @@
 
 // sendEnds are the results of sends, in the order of their counters.
 var sendEnds = [...]choice.Result{choice.Acked, choice.ServerError, choice.ServerFull, choice.TimedOut, choice.NoConnection,
-	choice.Reset, choice.Cancelled, choice.NotSent, choice.Declined}
+	choice.Reset, choice.Cancelled, choice.NotSent, choice.Declined, choice.ClientUnknown}
 
 // Set holds the counters of one gateway. The zero value is ready to use. The names in the log are derived from the
 // names of the fields.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,8 +76,9 @@
 	lastID      uint32        // the ID assigned most recently
 	lastTime    time.Duration // the latest time passed to the module
 	timers      map[uint32]time.Duration
-	nextWake    time.Duration // when Run checks the timers again
-	wakeEarlier chan struct{} // signals that a timer was set to fire before nextWake
+	unknown     map[uint32]*exchange.Exchange // ops with a send that ended as ClientUnknown, until their client is known
+	nextWake    time.Duration                 // when Run checks the timers again
+	wakeEarlier chan struct{}                 // signals that a timer was set to fire before nextWake
 }
 
 // entry is an open exchange and the number of sends made for it.
@@ -90,7 +91,7 @@
 func New(clock exchange.Clock, counts *counters.Set) *Dispatch {
 	return &Dispatch{clock: clock, counts: counts, opEvents: eventlog.New(),
 		serverID: func(server uint32) string { return strconv.FormatUint(uint64(server), 16) }, table: map[uint32]*entry{},
-		timers: map[uint32]time.Duration{}, wakeEarlier: make(chan struct{}, 1)}
+		timers: map[uint32]time.Duration{}, unknown: map[uint32]*exchange.Exchange{}, wakeEarlier: make(chan struct{}, 1)}
 }
 
 // Start creates the decision module and passes it the server list that was known at startup.
@@ -134,6 +135,7 @@
 		delete(d.timers, id)
 		d.gateway.Timer(now, id)
 	}
+	d.checkUnknownClients(now)
 	d.nextWake = now + time.Hour
 	for _, at := range d.timers {
 		d.nextWake = min(d.nextWake, at)
@@ -141,6 +143,19 @@
 	return max(0, d.nextWake-d.clock.Now())
 }
 
+// checkUnknownClients reports the ops whose client is known to be there by now. The mutex has to be held.
+func (d *Dispatch) checkUnknownClients(now time.Duration) {
+	for id, x := range d.unknown {
+		if x.Outcome == exchange.Pending && !x.Presence().AllowsSend(now) {
+			continue
+		}
+		delete(d.unknown, id)
+		if x.Outcome == exchange.Pending {
+			d.gateway.ClientPresent(now, id)
+		}
+	}
+}
+
 // now returns the time of the event being handled. The mutex has to be held.
 func (d *Dispatch) now() time.Duration {
 	now := d.clock.Now()
@@ -245,6 +260,9 @@
 	} else {
 		result.Answer.Release()
 	}
+	if result.Result == choice.ClientUnknown && x.Outcome == exchange.Pending {
+		d.unknown[x.ID] = x
+	}
 	d.removeIfDone(x)
 	d.report(now, server, result.Report)
 	d.gateway.Answer(now, x.ID, number, server, result.Result, result.Took, x.Outcome != exchange.Pending,
@@ -354,6 +372,19 @@
 	}
 }
 
+// Presence implements choice.PresenceHost.
+func (d *Dispatch) Presence(op uint32) choice.Presence {
+	x := d.table[op]
+	if x == nil || x.Exchange.Presence == nil {
+		return choice.Presence{AsOf: d.lastTime}
+	}
+	presence := x.Exchange.Presence()
+	if !presence.AllowsSend(d.lastTime) {
+		d.unknown[op] = x.Exchange
+	}
+	return presence
+}
+
 func (d *Dispatch) Probe(server uint32)     { d.servers.Probe(server) }
 func (d *Dispatch) Withdraw(server uint32)  { d.servers.Withdraw(server) }
 func (d *Dispatch) AskList()                { d.discovery.Ask() }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -256,3 +256,25 @@
 		}
 	}
 }
+
+// An op whose client was not known to be there is sent as soon as it is known to be there again.
+func TestOpIsSentOnceItsClientIsKnown(t *testing.T) {
+	d, s, _ := startDispatch(t)
+	presence := choice.Presence{AsOf: choice.LongPast}
+	x := &exchange.Exchange{OpType: 1, Deadline: d.clock.Now() + time.Second, MinPosition: choice.LongPast, Done: make(chan struct{}),
+		Presence: func() choice.Presence { return presence }}
+	d.Submit(x)
+	d.SendEnded(x, 0, primary, exchange.AttemptResult{Result: choice.ClientUnknown, Position: choice.LongPast})
+	if d.tick(); len(s.sent) != 1 || x.MayHaveRun {
+		t.Fatalf("got %d sends, want no second one while the client is unknown", len(s.sent))
+	}
+	presence.AsOf = d.clock.Now()
+	if d.tick(); len(s.sent) != 2 || len(d.unknown) != 0 {
+		t.Fatalf("got %d sends and %d unknown clients, want a second send", len(s.sent), len(d.unknown))
+	}
+	d.SendEnded(x, 1, primary, exchange.AttemptResult{Result: choice.ClientUnknown, Position: choice.LongPast})
+	d.ClientLeft(x)
+	if d.tick(); len(d.unknown) != 0 || len(d.table) != 0 || x.Outcome != exchange.ClientLeft {
+		t.Errorf("got %d unknown clients and %d ops in the table, want none after the client has left", len(d.unknown), len(d.table))
+	}
+}
--- a/internal/emulator/check.go
+++ b/internal/emulator/check.go
@@ -170,7 +170,7 @@
 	record := &op.record
 	record.openSends--
 	switch result {
-	case choice.ServerFull, choice.NoConnection, choice.NotSent, choice.Declined:
+	case choice.ServerFull, choice.NoConnection, choice.NotSent, choice.Declined, choice.ClientUnknown:
 	default:
 		if !record.mayHaveRun {
 			record.mayHaveRun, record.mayHaveRunAt, record.mayHaveRunGroup =
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -149,7 +149,7 @@
 	}
 	o.sentTo = nil
 	switch result {
-	case choice.ServerFull, choice.NoConnection, choice.NotSent, choice.Declined:
+	case choice.ServerFull, choice.NoConnection, choice.NotSent, choice.Declined, choice.ClientUnknown:
 	default:
 		if !o.mayHaveRun {
 			o.mayHaveRun, o.mayHaveRunAt = true, o.sentAt
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -22,7 +22,8 @@
 // resultNames are the names of the results of a send in a Trace.
 var resultNames = [...]string{choice.Acked: "acked", choice.ServerError: "error", choice.ServerFull: "full",
 	choice.TimedOut: "timed out", choice.NoConnection: "no connection", choice.Reset: "reset",
-	choice.Cancelled: "cancelled", choice.NotSent: "not sent", choice.Declined: "missed"}
+	choice.Cancelled: "cancelled", choice.NotSent: "not sent", choice.Declined: "missed",
+	choice.ClientUnknown: "client unknown"}
 
 // Result is the outcome of a run.
 type Result struct {
@@ -38,7 +39,7 @@
 	Sends        int64            // sends by gateways
 	Probes       int64            // probes by gateways
 	Troubles     [5]int64         // troubles that policies reported, by choice.Trouble; the first counts their ends
-	SendEnds     [9]int64         // results of sends, by choice.Result
+	SendEnds     [10]int64        // results of sends, by choice.Result
 	Worked       time.Duration    // work that servers began, as time of a core of speed 1
 	StaleExcused int64            // answers from old data by former primaries, which rule 5 allows
 	Broken       [5]int64         // violations by rule, from rule 1
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,9 +42,9 @@
 	Target      time.Duration // the latency target of the op type
 	MinPosition time.Duration // the position that a session read has to see, or choice.LongPast
 
-	// ClientClosed reports, at any time until the op has ended, whether its client is known to have disconnected. It may be
-	// nil.
-	ClientClosed func() bool
+	// Presence returns what is known of the op's client, for a send that may begin now. It may be called from any goroutine.
+	// Without it, as in tests, the client never leaves.
+	Presence func() choice.Presence
 
 	// Memory is reserved for the statement, its copies and the rest of the op.
 	Memory membudget.Reservation
--- a/internal/pgwire/window.go
+++ b/internal/pgwire/window.go
@@ -101,6 +101,9 @@
 // Bytes returns the bytes that were read and not yet removed.
 func (b *ReadBuffer) Bytes() []byte { return b.buf[b.start:b.end] }
 
+// DropEnd removes n bytes from the end. Messages read before stay valid.
+func (b *ReadBuffer) DropEnd(n int) { b.end -= n }
+
 // Discard removes n bytes from the front.
 func (b *ReadBuffer) Discard(n int) { b.start += n }
 
--- a/internal/serverside/send.go
+++ b/internal/serverside/send.go
@@ -12,8 +12,8 @@
 // execute executes one job. The connection must not be used again unless it is reusable.
 func (c *conn) execute(j *job) (result exchange.AttemptResult, reusable bool) {
 	p := c.pool
-	if !c.startJob(j) {
-		return exchange.AttemptResult{Result: choice.NotSent, Position: choice.LongPast}, true
+	if result, started := c.startJob(j); !started {
+		return exchange.AttemptResult{Result: result, Position: choice.LongPast}, true
 	}
 	invariant.Check(len(c.readBuffer.Bytes()) == 0, "a connection that starts a job has no unread bytes")
 	c.buildQuery(j)
@@ -38,23 +38,27 @@
 	return result, reusable
 }
 
-// startJob marks the job as started and applies its deadline to the connection. It returns false if the job was
-// cancelled, its op has ended, its client has disconnected or its beginBy has passed.
-func (c *conn) startJob(j *job) bool {
+// startJob marks the job as started and applies its deadline to the connection. If it may not start it returns the result:
+// NotSent if the job was cancelled, its op has ended, its client has left or its beginBy has passed, and ClientUnknown if it
+// is not known whether its client is still there.
+func (c *conn) startJob(j *job) (result choice.Result, started bool) {
+	clock := c.pool.clock
+	presence := choice.Presence{AsOf: clock.Now()}
+	if j.op != nil && j.op.Presence != nil {
+		presence = j.op.Presence()
+	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if j.cancelled || j.op != nil && hasEnded(j.op) || c.pool.clock.Now() >= j.beginBy {
-		return false
+	now := clock.Now()
+	switch {
+	case j.cancelled || j.op != nil && j.op.IsDone() || presence.Left || now >= j.beginBy:
+		return choice.NotSent, false
+	case !presence.AllowsSend(now):
+		return choice.ClientUnknown, false
 	}
 	j.started = true
-	c.net.SetDeadline(c.pool.clock.Time(j.deadline))
-	return true
-}
-
-// hasEnded reports whether an op has ended or is about to, as its client has disconnected: that may not have been handled
-// yet.
-func hasEnded(op *exchange.Exchange) bool {
-	return op.IsDone() || op.ClientClosed != nil && op.ClientClosed()
+	c.net.SetDeadline(clock.Time(j.deadline))
+	return choice.Acked, true
 }
 
 // buildQuery encodes the query of the job, which is sent with a single write.
--- a/internal/serverside/serverside_test.go
+++ b/internal/serverside/serverside_test.go
@@ -500,7 +500,7 @@
 	p, ended := newPool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
 	for range 2 { // on a new connection and on an idle one
 		op := newOp(t)
-		op.ClientClosed = func() bool { return true }
+		op.Presence = func() choice.Presence { return choice.Presence{Left: true} }
 		p.sendUntil(op, 0, testServer, p.testDeadline())
 		if r := ended.wait(t); r.Result != choice.NotSent || p.counts.Sent.Load() != 0 {
 			t.Errorf("got %+v and %d sends, want result NotSent", r, p.counts.Sent.Load())
@@ -602,3 +602,19 @@
 		t.Errorf("got %+v, want result Acked after SELECT 1", r)
 	}
 }
+
+// A send began although it was not known whether its client was still there. The connection stays usable.
+func TestSendForUnknownClientDoesNotBegin(t *testing.T) {
+	p, ended := newPool(t, 8, &standin.Database{Answer: func(string) ([]byte, bool) { return standin.Row("v", "replica", 1), true }})
+	for n, c := range []struct {
+		age  time.Duration
+		want choice.Result
+	}{{time.Second, choice.ClientUnknown}, {0, choice.Acked}} {
+		op := newOp(t)
+		op.Presence = func() choice.Presence { return choice.Presence{AsOf: p.clock.Now() - c.age} }
+		p.sendUntil(op, 0, testServer, p.testDeadline())
+		if r := ended.wait(t); r.Result != c.want || int(p.counts.Sent.Load()) != n || p.counts.ServerConns.Load() != 1 {
+			t.Errorf("got %+v, %d sends and %d connections, want result %v", r, p.counts.Sent.Load(), p.counts.ServerConns.Load(), c.want)
+		}
+	}
+}
