--- a/cmd/gorsewell/presence_test.go
+++ b/cmd/gorsewell/presence_test.go
@@ -214,6 +214,36 @@
 	}
 }
 
+// Invalid input was thrown away so slowly that its client, which stayed, was not known to have stayed in time.
+func TestClientThatStaysBehindInvalidInputIsServed(t *testing.T) {
+	const invalidBytes = 30 << 20
+	s := startBehindBusyPrimary(t, 64)
+	var staying sync.WaitGroup
+	for client := range pipeliners {
+		c, err := standin.Dial(s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		staying.Go(func() {
+			go func() {
+				c.WriteBytes(saveQuery(firstID(client), 1))
+				time.Sleep(20 * time.Millisecond)
+				c.WriteBytes([]byte(strings.Repeat("\xee", invalidBytes)))
+			}()
+			for _, want := range []string{"v" + firstID(client), "C54000$"} {
+				if answer, err := c.ReadAnswer(); err != nil || answer != want {
+					t.Errorf("got %q, %v, want %q", answer, err, want)
+				}
+			}
+		})
+	}
+	staying.Wait()
+	if t.Failed() {
+		t.Log(s.log)
+	}
+}
+
 // checkRepliesInOrder reads the replies to the long saves of a client: each is served or refused, in their order.
 func checkRepliesInOrder(t *testing.T, c *standin.Client, client, count int) {
 	served := 0
--- a/internal/clientside/read.go
+++ b/internal/clientside/read.go
@@ -72,13 +72,13 @@
 	return errRejected
 }
 
-// maxFastDiscard is how many bytes after rejected input are discarded as fast as they arrive. Beyond that, discarding
-// is slowed down.
+// maxFastDiscard is how many bytes after rejected input are discarded as fast as they arrive. Beyond that a millisecond
+// passes between two reads, each of up to discardPiece.
 const maxFastDiscard = 1 << 20
 
 // discardInput reads once and discards what it has read, in a turn of its own.
 func (c *conn) discardInput() (n int, err error) {
-	n, err = c.readSocket(c.readBuffer.Space())
+	n, err = c.skipSocket(discardPiece)
 	if err == nil {
 		c.acceptor.turns.await(c.flow)
 		c.acceptor.turns.end(c.flow)
