Accepting a connection is a turn of a flow of its own

Cause: accepting was one flow for all new connections. With connections in the listener's queue it counted as backlogged and got one turn in N + 1, so beyond that rate the queue grew without bound (Acceptor.acceptNext).

Change: each accepted connection is a flow of its own, not backlogged, as the connections themselves are. The acceptor asks for one turn after another, so others have one between two of its turns.

--- a/choice/input.go
+++ b/choice/input.go
@@ -11,10 +11,10 @@
 // do not delay the answers to others.
 //
 // Input is processed in turns, one at a time. A turn processes one command, or the bytes of one read that completed
-// none, and lasts until all that it has caused has run. The order is start-time fair queueing: each turn of a connection
-// begins, in virtual time, where its last one ended, or at the present virtual time if that is later. The earliest goes
-// first, with a lead for connections that are not backlogged. So a connection that asks for few turns hardly waits for
-// those that ask for many.
+// none, and lasts until all that it has caused has run. Accepting a connection is one turn of a
+// flow of its own. The order is start-time fair queueing: each turn of a connection begins, in virtual time, where its last
+// one ended, or at the present virtual time if that is later. The earliest goes first, with a lead for connections that are
+// not backlogged. So a connection that asks for few turns, such as a new one, hardly waits for those that ask for many.
 //
 // Two time budgets limit turns, see the constants. The one for backlogged connections leaves the rest of the processor
 // to the work on servers and to connections whose clients wait for answers.
--- a/cmd/gorsewell/flood_test.go
+++ b/cmd/gorsewell/flood_test.go
@@ -72,6 +72,7 @@
 		{name: "open id", next: func(int, int) []byte { return floodQuery("same", "lookup", 800, 0) }},
 		{name: "no time", next: func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 0, 0) }},
 		{name: "valid", next: func(c, n int) []byte { return floodQuery(id(c, n), "lookup", 800, 0) }},
+		{name: "batches", play: playBatches},
 		{name: "long", next: func(c, n int) []byte {
 			query := "SELECT data FROM facts WHERE code = '" + strings.Repeat("x", 60<<10) + "' /* c=lookup,cluster=0 */"
 			return pgwire.AppendQuery(nil, query)
@@ -110,6 +111,19 @@
 	}
 }
 
+// playBatches sends many commands of an op type that does not exist at once, and again when all are answered.
+func playBatches(c *standin.Client) {
+	const commands = 300
+	batch := bytes.Repeat(floodQuery("batch", "no-such", 800, 0), commands)
+	for c.WriteBytes(batch) == nil {
+		for range commands {
+			if got, err := c.ReadAnswer(); err != nil || strings.HasSuffix(got, "$") {
+				return
+			}
+		}
+	}
+}
+
 // flood sends input of one kind at full speed until it cannot connect. It calls connected whenever it has connected.
 func flood(addr string, kind floodKind, client int, connected func()) {
 	for n := 0; ; {
@@ -283,3 +297,43 @@
 		}
 	}
 }
+
+// Requests on new connections waited for seconds, as all connections that were accepted shared the turns of one.
+func TestNewConnectionsAreServedBesidePipeliningClients(t *testing.T) {
+	const floodClients, requests, burst, between, lateness = 300, 400, 20, 150 * time.Millisecond, 500 * time.Millisecond
+	_, addr, _, _ := startGateway(t, func(role, query string) ([]byte, bool) {
+		time.Sleep(time.Millisecond)
+		return standin.Row("v", role, time.Now().UnixMilli()), true
+	})
+	startFlood(t, addr, floodKind{name: "batches"}, floodClients)
+	took := make(chan time.Duration, requests)
+	for n := range requests {
+		go func() {
+			start := time.Now()
+			c, err := standin.Dial(addr)
+			if err == nil {
+				defer c.Close()
+				_, err = c.Query(fmt.Sprintf("SELECT data FROM facts WHERE code = 'k' /* id=n%d,c=lookup,d=%d,cluster=0 */",
+					n, usualWait.Milliseconds()))
+			}
+			if err != nil {
+				t.Errorf("request %d: %v", n, err)
+			}
+			took <- time.Since(start)
+		}()
+		if n%burst == burst-1 {
+			time.Sleep(between)
+		}
+	}
+	longest, late := time.Duration(0), 0
+	for range requests {
+		d := <-took
+		if longest = max(longest, d); d > usualWait+lateness {
+			late++
+		}
+	}
+	t.Logf("the longest request took %v", longest)
+	if late > 0 {
+		t.Errorf("%d of %d requests were answered more than %v after their time, the longest took %v", late, requests, lateness, longest)
+	}
+}
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -172,10 +172,11 @@
 
 // accept accepts connections until the listener is closed, or until its deadline passes after the end of the context.
 func (a *Acceptor) accept(ctx context.Context, l Listener, group *errgroup.Group) error {
-	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now(), flow: newFlow()}
+	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now()}
 	for failing, lastRound := false, false; ; {
 		queue.age()
-		netConn, err := a.acceptNext(l, queue)
+		accepting := newFlow() // for each connection, so that new ones do not share the turns of one flow
+		netConn, err := a.acceptNext(l, queue, accepting)
 		switch {
 		case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
 			if lastRound {
@@ -202,19 +203,18 @@
 		a.counts.ClientConns.Add(1)
 		a.counts.ClientOpen.Add(1)
 		hasRoom := a.awaitAcceptCapacity(queue)
-		a.turns.await(queue.flow)
+		a.turns.await(accepting)
 		a.begin(netConn, hasRoom, group)
-		a.turns.end(queue.flow)
+		a.turns.end(accepting)
 	}
 }
 
 // acceptNext accepts a connection. The time that this takes counts with the next turn, unless it was spent on waiting.
-func (a *Acceptor) acceptNext(l Listener, queue *backlog) (*net.TCPConn, error) {
-	queue.flow.Backlogged = queue.waiting
+func (a *Acceptor) acceptNext(l Listener, queue *backlog, accepting *flow) (*net.TCPConn, error) {
 	start := a.clock.Now()
 	netConn, err := l.AcceptTCP()
 	if queue.waiting {
-		queue.flow.readTime += a.clock.Now() - start
+		accepting.readTime = a.clock.Now() - start
 	}
 	return netConn, err
 }
