The test of commands during a planned stop connects all clients before they play

It was not lost commands that failed it.

Change: all clients connect first. Number of clients, commands and checks are the same; the stop begins, as before, when all are connected, and they play during the half second in which connections are still accepted.

--- a/internal/clientside/stop_loss_test.go
+++ b/internal/clientside/stop_loss_test.go
@@ -12,6 +12,7 @@
 
 	"gorsewell/internal/exchange"
 	"gorsewell/internal/pgwire"
+	"gorsewell/internal/standin"
 )
 
 // Each command that is sent while a planned stop closes connections is answered, or its connection is reset.
@@ -21,9 +22,13 @@
 		time.Sleep(time.Duration(rand.Int64N(int64(2 * time.Millisecond))))
 		ack(op)
 	})
-	var playing sync.WaitGroup
+	var connections [clients]*standin.Client
 	for n := range clients {
-		c, query := dial(t, addr), strings.Replace(lookupQuery, "id=1", fmt.Sprint("id=", n), 1)
+		connections[n] = dial(t, addr)
+	}
+	var playing sync.WaitGroup
+	for n, c := range connections {
+		query := strings.Replace(lookupQuery, "id=1", fmt.Sprint("id=", n), 1)
 		playing.Go(func() {
 			for {
 				time.Sleep(time.Duration(rand.Int64N(int64(20 * time.Millisecond))))
