The test of a message during a standstill waits until the process stands still

Change: the test sends the rest when all threads of the process are stopped. Its checks are the same.

--- a/cmd/gorsewell/endings_test.go
+++ b/cmd/gorsewell/endings_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -173,6 +175,26 @@
 	gateways.Wait()
 }
 
+// stopProcess sends SIGSTOP and waits until all threads of the process stand still.
+func stopProcess(t *testing.T, process *os.Process) {
+	t.Helper()
+	process.Signal(syscall.SIGSTOP)
+	standsStill := func(task string) bool {
+		text, err := os.ReadFile(task)
+		_, fields, found := strings.Cut(string(text), ") ") // behind the name of the program
+		return err != nil || found && strings.HasPrefix(fields, "T")
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", process.Pid))
+		if len(tasks) > 0 && !slices.ContainsFunc(tasks, func(task string) bool { return !standsStill(task) }) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the process does not stand still after SIGSTOP")
+		}
+	}
+}
+
 // A gateway that stands still for longer than a message may take must not close the connection over its rest, which has
 // arrived meanwhile.
 func TestMessageThatArrivedWhileProcessStoodStillIsRead(t *testing.T) {
@@ -188,7 +210,7 @@
 	input := append(pgwire.AppendQuery(nil, long), pgwire.AppendQuery(nil, fmt.Sprintf(lookupQuery, 2))...)
 	c.WriteBytes(input[:20<<10])
 	time.Sleep(50 * time.Millisecond) // the first piece is read
-	cmd.Process.Signal(syscall.SIGSTOP)
+	stopProcess(t, cmd.Process)
 	c.WriteBytes(input[20<<10:])
 	time.Sleep(3 * time.Second)
 	cmd.Process.Signal(syscall.SIGCONT)
