The time of requests that come while the process stands still runs from their arrival

Cause: an op's deadline was counted from the read of its last byte (conn.readAt).

Change: timer events are a heartbeat; when it is missing for 50 ms, input that is read within a second after that may have come meanwhile. Without a stall no further system call is made.

Test changed: TestMessageThatArrivedWhileProcessStoodStillIsRead let the process stand still for 3 s and wanted ops served whose clients wait for 2.5 s, half a second after their time. Now it stands still for 2.6 s, still longer than a message may take, with clients that wait for 2.99 s; it wants the same of the gateway, and that the ops are served in time.

--- a/choice/presence.go
+++ b/choice/presence.go
@@ -39,6 +39,7 @@
 // Like a Gateway, it has no I/O, clock or goroutine of its own.
 type PresenceTracker struct {
 	knownAt       time.Duration // when the client was last known not to have left
+	drainedAt     time.Duration // when no input was last waiting, or LongPast
 	throttledAt   time.Duration // when its machine may last have held back input
 	unreadSince   time.Duration // when input was first found to wait unread, or never
 	presenceAsked bool          // a send needs newer knowledge than there is
@@ -46,9 +47,12 @@
 
 // NewPresenceTracker returns the tracker of a new connection, of whose client nothing is known.
 func NewPresenceTracker() PresenceTracker {
-	return PresenceTracker{knownAt: LongPast, throttledAt: LongPast, unreadSince: never}
+	return PresenceTracker{knownAt: LongPast, drainedAt: LongPast, throttledAt: LongPast, unreadSince: never}
 }
 
+// ConnectionBegan handles that the connection did not exist before a time.
+func (t *PresenceTracker) ConnectionBegan(at time.Duration) { t.drainedAt = at }
+
 // InputRead handles that n bytes of waiting input were read.
 func (t *PresenceTracker) InputRead(now time.Duration, n int) {
 	if n >= throttlingInput {
@@ -59,7 +63,7 @@
 
 // InputDrained handles that no input waits unread, and that the client's stream has not ended.
 func (t *PresenceTracker) InputDrained(now time.Duration) {
-	t.unreadSince = never
+	t.unreadSince, t.drainedAt = never, now
 	if now-t.throttledAt < throttlingEnd {
 		return
 	}
@@ -67,6 +71,9 @@
 	t.presenceAsked = false
 }
 
+// DrainedAt returns when no input was last waiting, or LongPast.
+func (t *PresenceTracker) DrainedAt() time.Duration { return t.drainedAt }
+
 // Ask returns what is known of the client, for a send that may begin now. If that is too old for the send, input has to
 // be read on.
 func (t *PresenceTracker) Ask(now time.Duration) Presence {
--- a/cmd/gorsewell/endings_test.go
+++ b/cmd/gorsewell/endings_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -175,6 +176,17 @@
 	gateways.Wait()
 }
 
+// dialGateway connects to a gateway until the test ends.
+func dialGateway(t *testing.T, addr string) *standin.Client {
+	t.Helper()
+	c, err := standin.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
 // stopProcess sends SIGSTOP and waits until all threads of the process stand still.
 func stopProcess(t *testing.T, process *os.Process) {
 	t.Helper()
@@ -206,13 +218,20 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	long := strings.Replace(fmt.Sprintf(lookupQuery, 1), "'k'", "'"+strings.Repeat("k", 40<<10)+"'", 1)
-	input := append(pgwire.AppendQuery(nil, long), pgwire.AppendQuery(nil, fmt.Sprintf(lookupQuery, 2))...)
+	for n := range 10 { // so that answer times are known
+		if got, err := c.Query(fmt.Sprintf(lookupQuery, 10+n)); err != nil || got != "v" {
+			t.Fatalf("got %q, %v, want v; log %s", got, err, out)
+		}
+	}
+	// Their clients wait until shortly after the gateway goes on.
+	patient := strings.Replace(lookupQuery, "d=2500", "d=2990", 1)
+	long := strings.Replace(fmt.Sprintf(patient, 1), "'k'", "'"+strings.Repeat("k", 40<<10)+"'", 1)
+	input := append(pgwire.AppendQuery(nil, long), pgwire.AppendQuery(nil, fmt.Sprintf(patient, 2))...)
 	c.WriteBytes(input[:20<<10])
 	time.Sleep(50 * time.Millisecond) // the first piece is read
 	stopProcess(t, cmd.Process)
 	c.WriteBytes(input[20<<10:])
-	time.Sleep(3 * time.Second)
+	time.Sleep(2600 * time.Millisecond) // longer than a message may take
 	cmd.Process.Signal(syscall.SIGCONT)
 	for range 2 {
 		if got, err := c.ReadAnswer(); err != nil || got != "v" {
@@ -221,6 +240,67 @@
 	}
 }
 
+// The time of requests that had arrived while the process stood still was counted from their reading: servers were told
+// more than was left, and answers came after the clients' time.
+func TestTimeOfRequestsRunsWhileProcessStandsStill(t *testing.T) {
+	const wait, still, slack, lateness = 2 * time.Second, 900 * time.Millisecond, 150 * time.Millisecond, 500 * time.Millisecond
+	var mu sync.Mutex
+	var sentAt time.Time
+	told := map[string]time.Duration{}
+	cmd, addr, _, _ := startGateway(t, func(role, query string) ([]byte, bool) {
+		_, rest, _ := strings.Cut(query, ",d=")
+		digits, _, _ := strings.Cut(rest, ",")
+		milliseconds, _ := strconv.Atoi(digits)
+		mu.Lock()
+		defer mu.Unlock()
+		if id := queryID(query); id != "" {
+			told[id] = max(told[id], time.Duration(milliseconds)*time.Millisecond-(wait-time.Since(sentAt)))
+		}
+		if strings.HasPrefix(query, "INSERT") {
+			return nil, true // no answer
+		}
+		return standin.Row("v", role, time.Now().UnixMilli()), true
+	})
+	lookup := func(id int) string {
+		return strings.Replace(fmt.Sprintf(lookupQuery, id), "d=2500", fmt.Sprintf("d=%d", wait.Milliseconds()), 1)
+	}
+	single, several := dialGateway(t, addr), dialGateway(t, addr)
+	stopProcess(t, cmd.Process)
+	newOne, err := standin.DialTCP(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer newOne.Close()
+	mu.Lock()
+	sentAt = time.Now()
+	mu.Unlock()
+	single.WriteBytes(pgwire.AppendQuery(nil, saveStatement("hangs", 1, wait)))
+	several.WriteBytes(append(pgwire.AppendQuery(nil, lookup(1)), pgwire.AppendQuery(nil, lookup(2))...))
+	newOne.WriteBytes(append(pgwire.AppendStartup(nil, "portal", "crm"), pgwire.AppendQuery(nil, lookup(3))...))
+	time.Sleep(still)
+	cmd.Process.Signal(syscall.SIGCONT)
+	for _, c := range []struct {
+		client *standin.Client
+		want   []string
+	}{{several, []string{"v", "v"}}, {newOne, []string{"", "v"}}, {single, []string{"C08007"}}} {
+		for _, want := range c.want {
+			if got, err := c.client.ReadAnswer(); err != nil || got != want {
+				t.Errorf("got %q, %v, want %q", got, err, want)
+			}
+		}
+	}
+	if took := time.Since(sentAt); took > wait+lateness {
+		t.Errorf("the last answer came %v after its request, whose client waits for %v", took, wait)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, id := range []string{"hangs", "1", "2", "3"} {
+		if surplus, sent := told[id]; !sent || surplus > slack {
+			t.Errorf("op %s: got servers told %v more than was left (sent: %v), want at most %v", id, surplus, sent, slack)
+		}
+	}
+}
+
 // A gateway that stands still for longer than a call of discovery may take must not report that discovery failed.
 func TestDiscoveryIsNotBlamedForStallOfTheGateway(t *testing.T) {
 	cmd, addr, out, _ := startGateway(t, func(role, _ string) ([]byte, bool) {
--- a/cmd/gorsewell/presence_test.go
+++ b/cmd/gorsewell/presence_test.go
@@ -27,10 +27,15 @@
 	attemptAfterLeaving = 100 * time.Millisecond
 )
 
-// saveQuery returns a save whose value has the given length.
+// saveStatement returns a save whose value has the given length and whose client waits for some time.
+func saveStatement(id string, valueBytes int, wait time.Duration) string {
+	return fmt.Sprintf("INSERT INTO facts (code, data) VALUES ('c%s', '\\x%s') RETURNING data /* id=%s,c=save,d=%d,k=k%s,cluster=0 */",
+		id, strings.Repeat("9f", valueBytes), id, wait.Milliseconds(), id)
+}
+
+// saveQuery returns the message with a save whose client waits for nearly as long as a save may take.
 func saveQuery(id string, valueBytes int) []byte {
-	return pgwire.AppendQuery(nil, fmt.Sprintf("INSERT INTO facts (code, data) VALUES ('c%s', '\\x%s') RETURNING data /* id=%s,c=save,d=2800,k=k%s,cluster=0 */",
-		id, strings.Repeat("9f", valueBytes), id, id))
+	return pgwire.AppendQuery(nil, saveStatement(id, valueBytes, 2800*time.Millisecond))
 }
 
 // queryID returns the id of a query.
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -204,7 +204,7 @@
 		a.counts.ClientOpen.Add(1)
 		hasRoom := a.awaitAcceptCapacity(queue)
 		a.turns.await(accepting)
-		a.begin(netConn, hasRoom, group)
+		a.begin(netConn, queue.lastEmpty, hasRoom, group)
 		a.turns.end(accepting)
 	}
 }
@@ -219,8 +219,8 @@
 	return netConn, err
 }
 
-// begin serves a new connection if there is room for it, and refuses it otherwise.
-func (a *Acceptor) begin(netConn *net.TCPConn, hasRoom bool, group *errgroup.Group) {
+// begin serves a new connection, which did not exist before a time, if there is room for it, and refuses it otherwise.
+func (a *Acceptor) begin(netConn *net.TCPConn, began time.Duration, hasRoom bool, group *errgroup.Group) {
 	if !hasRoom {
 		a.counts.ClientRefused.Add(1)
 		a.counts.ClientOpen.Add(-1)
@@ -233,6 +233,7 @@
 		a.counts.ClientOpen.Add(-1)
 		return
 	}
+	c.presence.tracker.ConnectionBegan(began)
 	a.mu.Lock()
 	a.conns[c] = struct{}{}
 	a.mu.Unlock()
--- a/internal/clientside/command.go
+++ b/internal/clientside/command.go
@@ -52,6 +52,15 @@
 	return nil
 }
 
+// commandArrival returns when the command that was read last had arrived. Its last byte is the newest of all if none was
+// read behind it.
+func (c *conn) commandArrival() time.Duration {
+	if len(c.readBuffer.Bytes()) == 0 {
+		return c.arrival.Newest
+	}
+	return c.arrival.Earliest
+}
+
 // submit submits the op of a statement. The op owns the statement and the memory reserved for it.
 func (c *conn) submit(s *pgwire.Statement, opType uint8, memory membudget.Reservation) {
 	c.sentCommand.Store(true)
@@ -63,7 +72,7 @@
 		Group:       s.Group,
 		Session:     sessionHash(s.Key),
 		IsRetry:     s.Retry,
-		Deadline:    c.readAt + min(s.Remaining, settings.Timeout),
+		Deadline:    c.commandArrival() + min(s.Remaining, settings.Timeout),
 		Target:      settings.Target,
 		MinPosition: choice.LongPast,
 		Memory:      memory,
--- a/internal/clientside/conn.go
+++ b/internal/clientside/conn.go
@@ -32,8 +32,8 @@
 	// flow is the connection's input in the order of turns.
 	flow *flow
 
-	// readAt is when the bytes that were added to the read buffer last were read from the socket.
-	readAt time.Duration
+	// arrival is when the bytes had arrived that were added to the read buffer last.
+	arrival choice.InputArrival
 
 	// replies holds the replies in the order of their commands.
 	replies chan reply
--- a/internal/clientside/discard.go
+++ b/internal/clientside/discard.go
@@ -81,7 +81,7 @@
 	c.beginDiscarding()
 	piece := discardPieces.Get().(*[discardPiece]byte)
 	defer discardPieces.Put(piece)
-	n, err = c.readNow(piece[:])
+	n, _, err = c.readNow(piece[:])
 	scanner := &c.ahead.scanner
 	before := scanner.complete
 	scanner.scan(piece[:max(0, n)])
--- a/internal/clientside/presence.go
+++ b/internal/clientside/presence.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -60,19 +61,37 @@
 	return fds[0].Revents&unix.POLLIN != 0, err != nil || fds[0].Revents&ended != 0
 }
 
-// trackRead performs a read that does not wait, and tells the tracker of it.
-func (c *conn) trackRead(read func() (int, error)) (n int, err error) {
+// trackRead performs a read that does not wait, and tells the tracker of it. It returns when the input had arrived.
+func (c *conn) trackRead(fd uintptr, read func() (int, error)) (n int, arrival choice.InputArrival, err error) {
 	c.presence.mu.Lock()
 	defer c.presence.mu.Unlock()
 	start := c.acceptor.clock.Now()
 	n, err = read()
 	switch {
 	case n > 0:
-		c.presence.tracker.InputRead(c.acceptor.clock.Now(), n)
+		now := c.acceptor.clock.Now()
+		arrival = c.arrivalOfInput(fd, now)
+		c.presence.tracker.InputRead(now, n)
 	case err == syscall.EAGAIN:
 		c.presence.tracker.InputDrained(start)
 	}
-	return n, err
+	return n, arrival, err
+}
+
+// arrivalOfInput returns when the input had arrived that was just read. The kernel is asked for the time only after a
+// stall of the process; if it does not tell, the input counts as having come with the end of the stall.
+func (c *conn) arrivalOfInput(fd uintptr, now time.Duration) choice.InputArrival {
+	origin := choice.InputOrigin{Stall: c.acceptor.clock.LatestStall(), DrainedAt: c.presence.tracker.DrainedAt(), NewestAt: now}
+	if !origin.MayHaveWaited(now) {
+		return origin.Arrival(now)
+	}
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return origin.Arrival(now)
+	}
+	origin.NewestAt = now - time.Duration(info.Last_data_recv)*time.Millisecond
+	origin.IsLast = !poll(fd, unix.POLLIN)
+	return origin.Arrival(now)
 }
 
 // findInput returns how many bytes wait unread, and errClientGone if the client has closed its end.
--- a/internal/clientside/readahead.go
+++ b/internal/clientside/readahead.go
@@ -4,8 +4,8 @@
 	"errors"
 	"io"
 	"syscall"
-	"time"
 
+	"gorsewell/choice"
 	"gorsewell/internal/membudget"
 )
 
@@ -29,9 +29,9 @@
 
 // aheadPiece is a piece of input that was read ahead.
 type aheadPiece struct {
-	bytes  []byte
-	readAt time.Duration
-	memory membudget.Reservation
+	bytes   []byte
+	arrival choice.InputArrival
+	memory  membudget.Reservation
 }
 
 // readAhead holds input that was read from the socket and has not been processed.
@@ -74,20 +74,22 @@
 	return dropped
 }
 
-// take moves bytes from the front into a buffer and returns how many, and when they were read.
-func (r *readAhead) take(buffer []byte) (n int, readAt time.Duration) {
+// take moves bytes from the front into a buffer and returns how many, and when they had arrived.
+func (r *readAhead) take(buffer []byte) (n int, arrival choice.InputArrival) {
 	if r.size == 0 {
-		return 0, 0
+		return 0, arrival
 	}
 	front := &r.pieces[0]
-	n, readAt = copy(buffer, front.bytes), front.readAt
+	n, arrival = copy(buffer, front.bytes), front.arrival
 	front.bytes = front.bytes[n:]
 	r.size -= n
 	if len(front.bytes) == 0 {
 		front.memory.Release()
 		r.pieces = r.pieces[1:]
+	} else {
+		arrival.Newest = arrival.Earliest // its newest byte stays behind
 	}
-	return n, readAt
+	return n, arrival
 }
 
 // release drops everything.
@@ -149,11 +151,12 @@
 // readPiece reads a piece ahead into reserved memory.
 func (c *conn) readPiece(size int, memory membudget.Reservation) (n int, err error) {
 	bytes := make([]byte, size)
-	if n, err = c.readNow(bytes); n <= 0 {
+	n, arrival, err := c.readNow(bytes)
+	if n <= 0 {
 		memory.Release()
 		return n, err
 	}
-	c.ahead.add(aheadPiece{bytes: bytes[:n], memory: memory, readAt: c.acceptor.clock.Now()})
+	c.ahead.add(aheadPiece{bytes: bytes[:n], memory: memory, arrival: arrival})
 	return n, nil
 }
 
@@ -196,19 +199,19 @@
 }
 
 // readNow reads without waiting and counts the time that it takes.
-func (c *conn) readNow(space []byte) (n int, err error) {
+func (c *conn) readNow(space []byte) (n int, arrival choice.InputArrival, err error) {
 	start := c.acceptor.clock.Now()
 	rawErr := c.raw.Control(func(fd uintptr) {
-		n, err = c.trackRead(func() (int, error) { return readFile(fd, space) })
+		n, arrival, err = c.trackRead(fd, func() (int, error) { return readFile(fd, space) })
 	})
 	c.flow.readTime += c.acceptor.clock.Now() - start
-	if rawErr != nil {
-		return 0, rawErr
-	}
-	if n == 0 && err == nil {
-		return 0, io.EOF
+	switch {
+	case rawErr != nil:
+		return 0, arrival, rawErr
+	case n == 0 && err == nil:
+		return 0, arrival, io.EOF
 	}
-	return n, err
+	return n, arrival, err
 }
 
 // readFile reads from a descriptor, again if a signal interrupts it.
--- a/internal/clientside/socket.go
+++ b/internal/clientside/socket.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"gorsewell/choice"
 	"gorsewell/internal/invariant"
 )
 
@@ -20,9 +21,9 @@
 
 // readSocket reads into the given space and records whether it had to wait for input.
 func (c *conn) readSocket(space []byte) (n int, err error) {
-	if n, readAt := c.ahead.take(space); n > 0 {
+	if n, arrival := c.ahead.take(space); n > 0 {
 		c.flow.Backlogged = true
-		c.readAt = readAt
+		c.arrival = arrival
 		return n, nil
 	}
 	return c.readWaiting(func(fd uintptr) (int, error) { return readFile(fd, space) })
@@ -43,9 +44,12 @@
 	c.flow.Backlogged = true
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		start := c.acceptor.clock.Now()
-		n, err = c.trackRead(func() (int, error) { return read(fd) })
-		c.readAt = c.acceptor.clock.Now()
-		c.flow.readTime += c.readAt - start
+		var arrival choice.InputArrival
+		n, arrival, err = c.trackRead(fd, func() (int, error) { return read(fd) })
+		if n > 0 {
+			c.arrival = arrival
+		}
+		c.flow.readTime += c.acceptor.clock.Now() - start
 		if err == syscall.EAGAIN {
 			c.flow.Backlogged = false
 			return false
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 
 // tick fires the timers that are due and returns the time until the next one.
 func (d *Dispatch) tick() time.Duration {
+	d.clock.Beat()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
