A cached list is used for the drain grace at most before discovery has answered or failed

Cause: the cached list was used until another came (Gateway.List).

Change: where lists are pushed, sends may begin by the cached list until the grace is over; then ops are held until the first call has been answered or has failed, which shows an outage. Where lists are asked for nothing changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -209,6 +209,8 @@
 	retriesMarked     bool          // clients mark retries
 	maxSends          int           // for one op
 	initialProbes     int           // answered probes needed before a new server is used
+	cachedListTime    time.Duration // how long the cached list is used, see Deployment
+	cachedListEnd     time.Duration // when its use ends, or never
 	nextListRequest   time.Duration // when to ask for the list again, 0 for not at all
 	listBackoff       time.Duration // wait after the next failure of the list
 	maxListBackoff    time.Duration // upper bound of listBackoff
@@ -248,6 +250,7 @@
 		maxRetryAfter: d.MaxRetryAfter, maxListBackoff: cmp.Or(d.AskWithin, time.Minute) / 4, seed: d.Seed,
 		coldCapacityShare: d.ColdFrom, overloadFactor: d.OverloadFactor, warmUpTime: max(1, d.ColdTime),
 		overloadTime: max(1, d.OverloadTime), gatewayCount: max(1, float64(d.Gateways)),
+		cachedListTime: d.CachedListTime, cachedListEnd: never,
 		connShortageEnd: LongPast, lastResetAt: LongPast, stallNoticedAt: LongPast,
 		primaryCongestion: new([256]float64), replicaCongestion: new([256]float64),
 	}
--- a/choice/host.go
+++ b/choice/host.go
@@ -126,6 +126,7 @@
 	Seed                 uint64        // of this gateway's random numbers
 	EventInterval        time.Duration // least time between two events of the host
 	ListOnRequest        bool          // the server list is sent only when asked for, else changes are pushed
+	CachedListTime       time.Duration // how long the cached list is used before discovery has answered or failed; 0: no limit
 	AskWithin            time.Duration // a gateway that has not asked for the list for this long counts as knowing it
 	Checks               Checks
 	AnswersCarryPosition bool          // every answer carries the server's position
--- a/choice/membership.go
+++ b/choice/membership.go
@@ -10,6 +10,7 @@
 
 // List handles the server list: as the host last cached it, in full, or changes to it, or the failure to get it.
 func (g *Gateway) List(now time.Duration, scope ListScope, listed []Listed) {
+	g.limitCachedList(now, scope)
 	if scope == ListFailed {
 		// Half of the wait is random, so that gateways that failed together do not ask together.
 		g.nextListRequest = now + time.Duration((1+g.random())/2*float64(g.listBackoff))
@@ -30,6 +31,17 @@
 	}
 }
 
+// limitCachedList limits the use of the list that the host had stored before its start. What discovery knows counts as
+// known from the start on where lists are pushed, so a drain that the cached list does not show is held against the
+// gateway once the grace is over. A call that has failed shows that discovery cannot be reached, and the cached list is all
+// there is.
+func (g *Gateway) limitCachedList(now time.Duration, scope ListScope) {
+	g.cachedListEnd = never
+	if scope == ListCached && g.cachedListTime > 0 {
+		g.cachedListEnd = now + max(0, g.cachedListTime-2*g.tick)
+	}
+}
+
 // updateServer updates a server from its entry in the list. The first entry of a server creates it.
 func (g *Gateway) updateServer(now time.Duration, l *Listed) {
 	s := g.servers[l.ID]
--- a/choice/sending.go
+++ b/choice/sending.go
@@ -27,6 +27,7 @@
 	if !freshEnough && o.opType.Need == Bounded { // rule 5: the bound must still hold when the send begins
 		beginBy = min(beginBy, s.position+o.opType.Bound)
 	}
+	beginBy = min(beginBy, g.cachedListEnd)           // rule 3: the server may be draining by now
 	if o.done || o.sentTo != nil || now >= beginBy || // rules 1 and 2: one final answer, no double effect
 		s.state != Ready || s.group != o.group || // rule 3: nothing new to a draining or gone server, even in its grace time
 		!freshEnough && s.position < o.requiredPosition(now) || // rule 5: no data older than the op type allows
--- a/cmd/gorsewell/run.go
+++ b/cmd/gorsewell/run.go
@@ -92,6 +92,7 @@
 	}
 	// Discovery over HTTP sends lists only on request, even if the deployment's settings say that they are pushed.
 	settings.AskWithin = discovery.AskWithin(settings)
+	settings.CachedListTime = discovery.CachedListTime(settings)
 	settings.ListOnRequest = true
 	if _, _, err := discovery.NewNames(exchange.StartClock(), settings).Convert(&platform.Known); err != nil {
 		return nil, nil, fmt.Errorf("known: %w", err)
--- a/internal/clientside/presence.go
+++ b/internal/clientside/presence.go
@@ -79,7 +79,7 @@
 }
 
 // arrivalOfInput returns when the input had arrived that was just read. The kernel is asked for the time only after a
-// stall of the process; if it does not tell, the input counts as having come with the end of the stall.
+// stall of the process; if it does not tell, the earliest possible time is taken.
 func (c *conn) arrivalOfInput(fd uintptr, now time.Duration) choice.InputArrival {
 	origin := choice.InputOrigin{Stall: c.acceptor.clock.LatestStall(), DrainedAt: c.presence.tracker.DrainedAt(), NewestAt: now}
 	if !origin.MayHaveWaited(now) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -47,6 +47,15 @@
 	return min(MaxPropagationDelay, max(2*settings.DrainGrace, 4*minBackoff))
 }
 
+// CachedListTime returns the value of choice.Deployment.CachedListTime: where lists are pushed, the grace after which a drain
+// counts that discovery knew at the start of the process.
+func CachedListTime(settings *deployment.Settings) time.Duration {
+	if settings.ListOnRequest {
+		return 0
+	}
+	return settings.DrainGrace
+}
+
 // minBackoff keeps gateways from calling a discovery that is down in a busy loop.
 const minBackoff = 50 * time.Millisecond
 
