What a result shows of a server is assessed in four functions

assessResult did several things (docs/ROADMAP.md): signs of life and scarce connections, backoffs, the limit of open sends, and the congestion level. Each is a function of its own now, with the part of the comment that belongs to it.

--- a/choice/results.go
+++ b/choice/results.go
@@ -55,13 +55,18 @@
 	return &g.replicaCongestion[s.machineKind]
 }
 
-// assessResult updates what the gateway knows of a server from the result of one send:
-//   - An answer of any kind shows that the server runs. A connection that fails at once may show that connections are
-//     scarce.
-//   - An ack resets the length of the server's backoff. Troubles start a backoff and lengthen it, see backOff.
-//   - Acks, refusals of a full server and timeouts change the limit of open sends and the congestion level.
+// assessResult updates what the gateway knows of a server from the result of one send.
 func (g *Gateway) assessResult(now time.Duration, s *server, o *op, result Result, took time.Duration) {
-	slow := took > o.opType.Target/queueingDivisor
+	g.assessReachability(now, s, o, result, took)
+	g.assessFault(now, s, o, result)
+	if g.showsLoad(now, s, o, result) {
+		g.assessLoad(now, s, o, result, took)
+	}
+}
+
+// assessReachability updates whether the server runs and whether connections are scarce. An answer of any kind shows that
+// it runs. A connection that fails at once may show that connections are scarce.
+func (g *Gateway) assessReachability(now time.Duration, s *server, o *op, result Result, took time.Duration) {
 	switch result {
 	case Acked, Declined, ServerFull, ServerError:
 		g.markAlive(now, s, o.sentAt)
@@ -75,6 +80,11 @@
 	if now < g.connShortageEnd && len(s.openSends) == 0 {
 		g.host.CloseIdle(s.id)
 	}
+}
+
+// assessFault starts backoffs. An ack resets the length of the server's backoff; troubles start one and lengthen it, see
+// backOff.
+func (g *Gateway) assessFault(now time.Duration, s *server, o *op, result Result) {
 	switch {
 	case result == Acked:
 		s.backoff = 0
@@ -93,23 +103,25 @@
 		}
 		g.backOff(now, s, ReasonUnreachable, false)
 	}
-	// Only acks, full servers and timeouts show how much a server can take. A send that timed out although a later one
-	// was answered may have been lost rather than late, so it shows nothing. Nor does a result that arrives just when a
-	// stall of the gateway is noticed, as it is not known how late the answer came.
-	noEvidence := result != TimedOut || o.sentAt < s.aliveAsOf
-	if result != Acked && result != ServerFull && noEvidence || now == g.stallNoticedAt {
-		return
+}
+
+// showsLoad reports whether a result shows how much a server can take. Only acks, full servers and timeouts do. A send that
+// timed out although a later one was answered may have been lost rather than late, so it shows nothing. Nor does a result
+// that arrives just when a stall of the gateway is noticed, as it is not known how late the answer came.
+func (g *Gateway) showsLoad(now time.Duration, s *server, o *op, result Result) bool {
+	switch {
+	case now == g.stallNoticedAt:
+		return false
+	case result == TimedOut:
+		return o.sentAt >= s.aliveAsOf
 	}
-	// An ack that shows queueing reduces the limit, but to no less than 1 and at most once within the time of an
-	// answer. An ack that shows none raises a limit of 1 or more.
+	return result == Acked || result == ServerFull
+}
+
+// assessLoad updates the limit of the server's open sends and the congestion level from a result that shows load.
+func (g *Gateway) assessLoad(now time.Duration, s *server, o *op, result Result, took time.Duration) {
 	if result == Acked {
-		o.opType.answerTimes.add(took, o.opType.Target)
-		s.ackedWork += float64(o.opType.meanAnswerTime())
-		if slow && now-s.limitDecreasedAt > took {
-			s.limit, s.limitDecreasedAt = max(s.limit*limitDecrease, min(s.limit, 1)), now
-		} else if !slow && s.limit >= 1 {
-			s.limit += 1 / (s.limit * g.gatewayCount) // all gateways together allow about one more open send per round
-		}
+		g.assessQueueing(now, s, o, took)
 	}
 	// A late answer raises the congestion level of the server's kind of machine only if the server's own limit is
 	// exactly 1. A greater limit can still be reduced, and one below 1 was reduced by an earlier late answer, so that
@@ -130,6 +142,19 @@
 	}
 }
 
+// assessQueueing updates the limit of the server's open sends from an ack. An ack that shows queueing reduces the limit, but
+// to no less than 1 and at most once within the time of an answer. An ack that shows none raises a limit of 1 or more.
+func (g *Gateway) assessQueueing(now time.Duration, s *server, o *op, took time.Duration) {
+	o.opType.answerTimes.add(took, o.opType.Target)
+	s.ackedWork += float64(o.opType.meanAnswerTime())
+	slow := took > o.opType.Target/queueingDivisor
+	if slow && now-s.limitDecreasedAt > took {
+		s.limit, s.limitDecreasedAt = max(s.limit*limitDecrease, min(s.limit, 1)), now
+	} else if !slow && s.limit >= 1 {
+		s.limit += 1 / (s.limit * g.gatewayCount) // all gateways together allow about one more open send per round
+	}
+}
+
 // NeverRan reports whether the result proves that the op did not run.
 func (r Result) NeverRan() bool {
 	return r == ServerFull || r == NoConnection || r == NotSent || r == Declined || r == ClientUnknown
