Accepting has the weight of many connections instead of a flow for each new one

Cause: a flow that has had no turn comes before all others of the same rank, and the acceptor asks with a new one again and again. Virtual time stands still meanwhile, so flows that had a turn never come.

Change: accepting is one flow again, of weight 64, which keeps its claim to the turns of one round while it prepares its next request. It is backlogged as before, so usual commands go first.

AcceptingHasTurnsBesideManyBackloggedConnections plays the scheduler alone.

--- a/choice/input.go
+++ b/choice/input.go
@@ -11,10 +11,11 @@
 // do not delay the answers to others.
 //
 // Input is processed in turns, one at a time. A turn processes one command, or the bytes of one read that completed
-// none, and lasts until all that it has caused has run. Accepting a connection is one turn of a
-// flow of its own. The order is start-time fair queueing: each turn of a connection begins, in virtual time, where its last
-// one ended, or at the present virtual time if that is later. The earliest goes first, with a lead for connections that are
-// not backlogged. So a connection that asks for few turns, such as a new one, hardly waits for those that ask for many.
+// none, or accepts a connection, and lasts until all that it has caused has run. The order is start-time fair queueing: each
+// turn of a connection begins, in virtual time, where its last one ended, or at the present virtual time if that is later.
+// The earliest goes first, with a lead for connections that are not backlogged. So a connection that asks for few turns
+// hardly waits for those that ask for many. Accepting has the weight of many connections, as each of its turns is for
+// another client.
 //
 // Two time budgets limit turns, see the constants. The one for backlogged connections leaves the rest of the processor
 // to the work on servers and to connections whose clients wait for answers.
@@ -23,7 +24,7 @@
 type InputScheduler struct {
 	all         timeBudget // limits all turns
 	backlog     timeBudget // limits turns of backlogged connections
-	virtualTime int64      // when the newest turn began, in turns
+	virtualTime int64      // when the newest turn began
 	turnStart   time.Duration
 	inTurn      bool
 	waiting     []*InputFlow // in the order of their turns
@@ -41,6 +42,9 @@
 	// of the backlogged connections has one.
 	occasionalLead = 8
 
+	// turnLength is the virtual time that a turn of a flow of weight 1 takes.
+	turnLength = AcceptWeight
+
 	// inputBurst is how much unused time accumulates for all turns.
 	inputBurst = 10 * time.Millisecond
 
@@ -52,6 +56,9 @@
 	maxInputDebt = 5 * time.Millisecond
 )
 
+// AcceptWeight is how many turns accepting connections may have while each backlogged connection has one.
+const AcceptWeight = 64
+
 // Limits of the commands that are processed at a time.
 const (
 	// MaxOpenCommands is how many commands of one connection are processed at a time.
@@ -68,20 +75,32 @@
 	return min(max(1, sharedOpenCommands/max(1, connections)), MaxOpenCommands)
 }
 
-// InputFlow is the input of one connection. Its zero value is a connection that has had no turn.
+// InputFlow is the input of one connection, or the accepting of connections. Its zero value is a connection that has had no turn.
 type InputFlow struct {
 	// Backlogged tells that the connection's next input had arrived before it was ready to process it.
 	Backlogged bool
 
+	// Weight is how many turns it may have while a connection has one, AcceptWeight at most. 0 counts as 1.
+	Weight int64
+
 	start, finish int64 // of the newest turn, in virtual time
 }
 
+// credit is the virtual time by which a turn may begin before the present one. A flow of greater weight that is backlogged
+// asks for its next turn only some time after its last one. Others have turns meanwhile, which must not cost it its own.
+func (f *InputFlow) credit() int64 {
+	if f.Backlogged && f.Weight > 1 {
+		return turnLength
+	}
+	return 0
+}
+
 // rank is the place of a waiting connection in the order of turns, the lowest first.
 func (f *InputFlow) rank() int64 {
 	if f.Backlogged {
 		return f.start
 	}
-	return f.start - occasionalLead
+	return f.start - occasionalLead*turnLength
 }
 
 // compareRanks compares the ranks of two connections. Of equal ones the one that has had less comes first.
@@ -101,7 +120,7 @@
 
 // Request asks for a turn. If it returns true, the turn has begun; else Next returns the connection later.
 func (s *InputScheduler) Request(now time.Duration, f *InputFlow) bool {
-	f.start = max(s.virtualTime, f.finish)
+	f.start = max(s.virtualTime-f.credit(), f.finish)
 	if !s.inTurn && len(s.waiting) == 0 && s.timeUntilAllowed(now, f) == 0 {
 		s.begin(now, f)
 		return true
@@ -130,7 +149,7 @@
 func (s *InputScheduler) begin(now time.Duration, f *InputFlow) {
 	s.inTurn, s.turnStart = true, now
 	s.virtualTime = max(s.virtualTime, f.start)
-	f.finish = f.start + 1
+	f.finish = f.start + turnLength/max(1, f.Weight)
 }
 
 // End ends the turn that has begun. readTime is the time that reading its input took before.
--- a/choice/input_test.go
+++ b/choice/input_test.go
@@ -115,3 +115,40 @@
 		t.Error("got a wait without limits, want none")
 	}
 }
+
+// Accepting, which asks for one turn after the other, had one turn in N + 1 beside N backlogged connections. It must not keep
+// out others either.
+func TestAcceptingHasTurnsBesideManyBackloggedConnections(t *testing.T) {
+	const connections, rounds = 300, 20
+	s := NewInputScheduler(0, 1)
+	s.LiftLimits()
+	accepting := &InputFlow{Backlogged: true, Weight: AcceptWeight}
+	turns := map[*InputFlow]int{}
+	for range connections {
+		s.Request(0, &InputFlow{Backlogged: true})
+	}
+	acceptingWaits := false
+	for range rounds * connections {
+		s.End(0, 0)
+		next, _ := s.Next(0)
+		turns[next]++
+		if next == accepting {
+			acceptingWaits = false
+			continue // it asks again only after the next turn has begun
+		}
+		s.Request(0, next)
+		if !acceptingWaits {
+			acceptingWaits = true
+			s.Request(0, accepting)
+		}
+	}
+	if got, want := turns[accepting], rounds*connections*AcceptWeight/(connections+AcceptWeight); got < want*9/10 || got > want*11/10 {
+		t.Errorf("got %d turns for accepting, want about %d", got, want)
+	}
+	occasional := &InputFlow{}
+	s.Request(0, occasional)
+	s.End(0, 0)
+	if next, _ := s.Next(0); next != occasional {
+		t.Error("want the next turn for a connection that is not backlogged")
+	}
+}
--- a/internal/clientside/accept.go
+++ b/internal/clientside/accept.go
@@ -172,11 +172,11 @@
 
 // accept accepts connections until the listener is closed, or until its deadline passes after the end of the context.
 func (a *Acceptor) accept(ctx context.Context, l Listener, group *errgroup.Group) error {
-	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now()}
+	queue := &backlog{listener: l, clock: a.clock, lastEmpty: a.clock.Now(), flow: newFlow()}
+	queue.flow.Weight = choice.AcceptWeight
 	for failing, lastRound := false, false; ; {
 		queue.age()
-		accepting := newFlow() // for each connection, so that new ones do not share the turns of one flow
-		netConn, err := a.acceptNext(l, queue, accepting)
+		netConn, err := a.acceptNext(l, queue)
 		switch {
 		case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
 			if lastRound {
@@ -203,18 +203,19 @@
 		a.counts.ClientConns.Add(1)
 		a.counts.ClientOpen.Add(1)
 		hasRoom := a.awaitAcceptCapacity(queue)
-		a.turns.await(accepting)
+		a.turns.await(queue.flow)
 		a.begin(netConn, queue.lastEmpty, hasRoom, group)
-		a.turns.end(accepting)
+		a.turns.end(queue.flow)
 	}
 }
 
 // acceptNext accepts a connection. The time that this takes counts with the next turn, unless it was spent on waiting.
-func (a *Acceptor) acceptNext(l Listener, queue *backlog, accepting *flow) (*net.TCPConn, error) {
+func (a *Acceptor) acceptNext(l Listener, queue *backlog) (*net.TCPConn, error) {
+	queue.flow.Backlogged = queue.waiting
 	start := a.clock.Now()
 	netConn, err := l.AcceptTCP()
 	if queue.waiting {
-		accepting.readTime = a.clock.Now() - start
+		queue.flow.readTime += a.clock.Now() - start
 	}
 	return netConn, err
 }
--- a/internal/clientside/capacity.go
+++ b/internal/clientside/capacity.go
@@ -51,6 +51,9 @@
 
 	// waiting tells whether there were connections in it.
 	waiting bool
+
+	// flow is that of accepting connections.
+	flow *flow
 }
 
 // age returns an upper limit of the time for which the queue has not been empty.
--- a/internal/clientside/turns.go
+++ b/internal/clientside/turns.go
@@ -32,7 +32,7 @@
 	return t
 }
 
-// flow is the input of one connection, or the accepting of one.
+// flow is the input of one connection, or the accepting of connections.
 type flow struct {
 	choice.InputFlow
 	begun chan struct{}
